--- /dev/null
+++ b/crates/process/src/lib.rs
@@ -0,0 +1,10 @@
+//! What the three programs share: settings, logs, metrics, timers and the admin endpoint.
+
+pub mod admin;
+pub mod exit;
+pub mod incarnation;
+pub mod lifecycle;
+pub mod logs;
+pub mod metrics;
+pub mod settings;
+pub mod timer;
--- /dev/null
+++ b/crates/steward/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
