Serve callers' sessions through pools

Cause: the entry was a placeholder. Change: start-up with a clear-text key, simple and extended queries, transactions, prepared statements kept by session, routing by statement class and session floor, refusals with SQLSTATE and DETAIL, admin endpoint. Policy: statement classes, session token and floor, choice of the upstream. Conclusion: works against a fake steward and a fake pool with tokio-postgres as client.

--- /dev/null
+++ b/crates/entry/src/auth.rs
@@ -0,0 +1,19 @@
+//! Check of callers' keys against the verifiers of the bundle.
+
+mod verifier;
+
+pub(crate) use verifier::Verifier;
+
+use mustardbay_policy::bundle::Account;
+use mustardbay_policy::names::KeyId;
+
+/// Returns the identifier of the account's key that equals `key`, by the stored verifiers.
+///
+/// Every verifier costs a key derivation, so this belongs on a blocking thread.
+pub(crate) fn check_cleartext(account: &Account, key: &str) -> Option<KeyId> {
+    account
+        .keys
+        .iter()
+        .find(|k| Verifier::parse(&k.verifier).is_some_and(|v| v.accepts(key)))
+        .map(|k| k.id.clone())
+}
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,83 @@
+//! What every session of the process shares.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::Weak;
+
+use mustardbay_link::StewardLink;
+use mustardbay_policy::bundle::Upstream;
+use mustardbay_policy::names::GroupName;
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::route::home;
+use mustardbay_policy::view::View;
+use mustardbay_process::dialer::Dialer;
+use mustardbay_process::lifecycle::Lifecycle;
+
+use crate::groups::Groups;
+use crate::pools::PoolLink;
+use crate::pools::Pools;
+use crate::settings::EntrySettings;
+
+/// Shared state of one entry.
+#[derive(Debug)]
+pub(crate) struct Context {
+    /// Settings of the process.
+    pub settings: EntrySettings,
+    /// Link to the steward of this virtual machine.
+    pub steward: StewardLink,
+    /// Life of the process.
+    pub life: Lifecycle,
+    /// Links to pools.
+    pub pools: Pools,
+    /// What was seen of each group.
+    pub groups: Groups,
+    homes: Mutex<Homes>,
+}
+
+/// Homes of upstreams under one view, computed when they are first needed.
+#[derive(Debug, Default)]
+struct Homes {
+    view: Weak<View>,
+    links: HashMap<(GroupName, UpstreamName), Arc<PoolLink>>,
+}
+
+impl Context {
+    /// Creates the shared state.
+    pub fn new(settings: EntrySettings, steward: StewardLink, life: Lifecycle) -> Self {
+        let pools = Pools::new(Dialer::new(settings.source));
+        Self {
+            settings,
+            steward,
+            life,
+            pools,
+            groups: Groups::default(),
+            homes: Mutex::default(),
+        }
+    }
+
+    /// Returns the link to the pool that is the home of `upstream`.
+    ///
+    /// `None` if no virtual machine is live.
+    pub fn home(
+        &self,
+        view: &Arc<View>,
+        group: &GroupName,
+        upstream: &Upstream,
+    ) -> Option<Arc<PoolLink>> {
+        let mut homes = self.homes.lock().unwrap_or_else(PoisonError::into_inner);
+        if !std::ptr::eq(homes.view.as_ptr(), Arc::as_ptr(view)) {
+            homes.view = Arc::downgrade(view);
+            homes.links.clear();
+        }
+        let key = (group.clone(), upstream.name.clone());
+        if let Some(link) = homes.links.get(&key) {
+            return Some(Arc::clone(link));
+        }
+        let vm = home(view, group, upstream)?;
+        let link = self.pools.link(&view.vms.get(vm)?.pool);
+        homes.links.insert(key, Arc::clone(&link));
+        Some(link)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dump.rs
@@ -0,0 +1,58 @@
+//! Dump of the process's state for operators; holds no keys.
+
+use std::time::Instant;
+
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::context::Context;
+
+/// Returns the state of the process.
+pub(crate) fn dump(ctx: &Context) -> Value {
+    let view = ctx.steward.view();
+    json!({
+        "program": "entry",
+        "vm": ctx.settings.vm,
+        "domain": ctx.settings.domain,
+        "draining": ctx.life.is_draining(),
+        "bundle": view.as_ref().map(|v| v.bundle.version),
+        "groups": view.as_ref().map(|v| &v.groups),
+        "vms": view.as_ref().map(|v| &v.vms),
+        "links": links(ctx),
+        "positions": positions(ctx),
+    })
+}
+
+fn links(ctx: &Context) -> Vec<Value> {
+    ctx.pools
+        .all()
+        .iter()
+        .map(|link| {
+            json!({
+                "pool": link.address(),
+                "up": link.is_up(),
+                "waiting": link.waiting(),
+            })
+        })
+        .collect()
+}
+
+fn positions(ctx: &Context) -> Value {
+    let now = Instant::now();
+    let mut groups = Map::new();
+    for (name, shared) in ctx.groups.all() {
+        let sight = shared.lock();
+        let mut upstreams = Map::new();
+        for (upstream, seen) in sight.positions.iter() {
+            let shown = json!({
+                "applied": seen.applied.to_string(),
+                "age_ms": seen.age_at(now).as_millis(),
+                "load": sight.load(upstream),
+            });
+            upstreams.insert(upstream.to_string(), shown);
+        }
+        groups.insert(name.to_string(), Value::Object(upstreams));
+    }
+    Value::Object(groups)
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,3 +1,12 @@
-//! Placeholder.
+//! `mustardbay-entry`: serves callers' PostgreSQL sessions.
 
-fn main() {}
+use std::process::ExitCode;
+
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    mustardbay_entry::run().into()
+}
--- /dev/null
+++ b/crates/entry/src/session.rs
@@ -0,0 +1,288 @@
+//! Session of one caller, from its start-up to its end.
+
+mod answer;
+mod batch;
+mod execute;
+mod local;
+mod login;
+mod parameters;
+mod prepared;
+mod startup;
+mod transaction;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::SinkExt;
+use futures::StreamExt;
+use mustardbay_policy::refusal::Refusal;
+use mustardbay_policy::session::Floor;
+use mustardbay_policy::session::SessionToken;
+use pgwire::error::PgWireError;
+use pgwire::messages::PgWireFrontendMessage;
+use thiserror::Error;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use crate::caller::CallerCodec;
+use crate::caller::ProtocolError;
+use crate::caller::Severity;
+use crate::caller::error;
+use crate::caller::parameter;
+use crate::caller::ready;
+use crate::caller::refusal;
+use crate::context::Context;
+use crate::groups::SharedSight;
+use crate::pools::Answer;
+use crate::pools::AnswerSender;
+use crate::session::batch::Batch;
+use crate::session::login::Grant;
+use crate::session::login::Login;
+use crate::session::parameters::Parameters;
+use crate::session::prepared::Statements;
+use crate::session::startup::Started;
+use crate::session::startup::StartupError;
+use crate::session::startup::start_up;
+use crate::session::transaction::Transaction;
+
+/// Number of the next session, unique over the life of the process.
+static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
+
+/// Byte stream to a caller.
+pub(crate) trait Transport: AsyncRead + AsyncWrite + Unpin + Send {}
+
+impl<T: AsyncRead + AsyncWrite + Unpin + Send> Transport for T {}
+
+/// Framed connection to a caller.
+pub(crate) type Caller<S> = Framed<S, CallerCodec>;
+
+/// Why a session ended.
+#[derive(Debug, Error)]
+pub(crate) enum End {
+    /// The caller said goodbye or closed the connection.
+    #[error("closed by the caller")]
+    Closed,
+    /// The connection failed or the input cannot be served.
+    #[error(transparent)]
+    Protocol(#[from] ProtocolError),
+    /// The session may not go on.
+    #[error("{}", .0.message)]
+    Refused(Refusal),
+}
+
+impl From<PgWireError> for End {
+    fn from(e: PgWireError) -> Self {
+        Self::Protocol(e.into())
+    }
+}
+
+/// Session of one caller.
+#[derive(Debug)]
+pub(crate) struct Session<S> {
+    ctx: Arc<Context>,
+    caller: Caller<S>,
+    id: u64,
+    login: Login,
+    grant: Grant,
+    sight: Arc<SharedSight>,
+    parameters: Parameters,
+    floor: Floor,
+    reported: Option<SessionToken>,
+    statements: Statements,
+    transaction: Transaction,
+    skipping: bool,
+    answers_in: AnswerSender,
+    answers: mpsc::UnboundedReceiver<(u64, Answer)>,
+}
+
+/// Serves one connection until it ends.
+pub(crate) async fn serve(stream: TcpStream, ctx: Arc<Context>) {
+    let codec = CallerCodec::new(ctx.settings.limits.message_bytes);
+    let mut caller = Framed::new(stream, codec);
+    let bound = Duration::from_millis(ctx.settings.limits.startup_ms);
+    let started = match timeout(bound, start_up(&mut caller, &ctx)).await {
+        Ok(Ok(started)) => started,
+        Ok(Err(e)) => return reject(caller, e).await,
+        Err(_) => {
+            tracing::debug!(event = "startup_timed_out");
+            return;
+        }
+    };
+    Session::open(caller, ctx, started).run().await;
+}
+
+/// Tells a caller why it gets no session, as far as it can be told.
+async fn reject<S: Transport>(mut caller: Caller<S>, reason: StartupError) {
+    let last = match reason {
+        StartupError::Closed | StartupError::Protocol(ProtocolError::Io(_)) => return,
+        StartupError::Protocol(e) => error(Severity::Fatal, "08P01", e.to_string()),
+        StartupError::Refused(refused) => {
+            tracing::info!(event = "startup_refused", reason = ?refused.reason, message = refused.message);
+            refusal(Severity::Fatal, &refused)
+        }
+    };
+    if let Err(e) = caller.send(last).await {
+        tracing::debug!(event = "reject_unsent", error = %e);
+    }
+}
+
+impl<S: Transport> Session<S> {
+    fn open(caller: Caller<S>, ctx: Arc<Context>, started: Started) -> Self {
+        let grant = started.grant;
+        let group = grant.group().name.clone();
+        let (answers_in, answers) = mpsc::unbounded_channel();
+        let mut session = Self {
+            sight: ctx.groups.sight(&group),
+            ctx,
+            caller,
+            id: NEXT_SESSION.fetch_add(1, Ordering::Relaxed),
+            login: started.login,
+            grant,
+            parameters: Parameters::default(),
+            floor: Floor::unknown(group),
+            reported: None,
+            statements: Statements::new(),
+            transaction: Transaction::Idle,
+            skipping: false,
+            answers_in,
+            answers,
+        };
+        session.take_parameters(&started.parameters);
+        session
+    }
+
+    /// Takes in the start-up parameters; those that cannot be honoured are left out.
+    fn take_parameters(&mut self, given: &[(String, String)]) {
+        for (name, value) in given {
+            if name == parameters::SESSION {
+                if let Ok(token) = value.parse() {
+                    self.floor.present(&token);
+                }
+            } else if let Err(e) = self.parameters.set(name, value) {
+                tracing::debug!(event = "parameter_ignored", reason = e.message());
+            }
+        }
+        self.parameters.start();
+    }
+
+    async fn run(mut self) {
+        let ended = match self.greet().await {
+            Ok(()) => self.serve_messages().await,
+            Err(end) => end,
+        };
+        self.close(ended).await;
+    }
+
+    async fn greet(&mut self) -> Result<(), End> {
+        for (name, value) in self.parameters.reported() {
+            self.caller.feed(parameter(name, value)).await?;
+        }
+        self.caller.feed(ready(self.transaction.status())).await?;
+        self.caller.flush().await?;
+        Ok(())
+    }
+
+    async fn serve_messages(&mut self) -> End {
+        let mut batch = Batch::default();
+        loop {
+            let message = match self.caller.next().await {
+                Some(Ok(message)) => message,
+                Some(Err(e)) => return e.into(),
+                None => return End::Closed,
+            };
+            if let Err(end) = self.take(message, &mut batch).await {
+                return end;
+            }
+        }
+    }
+
+    /// Takes one message: adds it to the batch, or runs the batch that it completes.
+    async fn take(&mut self, message: PgWireFrontendMessage, batch: &mut Batch) -> Result<(), End> {
+        match message {
+            PgWireFrontendMessage::Terminate(_) => return Err(End::Closed),
+            PgWireFrontendMessage::Sync(_) if self.skipping => {
+                self.skipping = false;
+                return self.finish_answer().await;
+            }
+            _ if self.skipping => {}
+            PgWireFrontendMessage::Query(query) => {
+                *batch = Batch::default();
+                return self.execute(Batch::query(&query)?).await;
+            }
+            PgWireFrontendMessage::Sync(_) => {
+                let mut whole = std::mem::take(batch);
+                if whole.is_empty() {
+                    return self.finish_answer().await;
+                }
+                whole.sync()?;
+                return self.execute(whole).await;
+            }
+            PgWireFrontendMessage::Parse(parse) => batch.parse(parse)?,
+            PgWireFrontendMessage::Bind(bind) => batch.bind(bind, &self.statements)?,
+            PgWireFrontendMessage::Describe(describe) => {
+                batch.describe(describe, &self.statements)?;
+            }
+            PgWireFrontendMessage::Execute(execute) => batch.execute(&execute)?,
+            PgWireFrontendMessage::Close(close) => batch.close(close)?,
+            _ => {}
+        }
+        if batch.bytes() > self.ctx.settings.limits.batch_bytes {
+            *batch = Batch::default();
+            return self
+                .skip("54000", "messages up to Sync exceed the limit")
+                .await;
+        }
+        Ok(())
+    }
+
+    /// Refuses the rest of the messages up to the next `Sync`.
+    async fn skip(&mut self, code: &str, message: &str) -> Result<(), End> {
+        self.skipping = true;
+        self.caller
+            .send(error(Severity::Error, code, message))
+            .await?;
+        Ok(())
+    }
+
+    /// Checks the login against the bundle in force, if that changed.
+    fn check_grant(&mut self) -> Result<(), Refusal> {
+        let Some(view) = self.ctx.steward.view() else {
+            return Ok(());
+        };
+        if !self.grant.is_of(&view.bundle) {
+            self.grant = self.login.check(&view.bundle)?;
+            self.follow_route();
+        }
+        Ok(())
+    }
+
+    /// Starts over with an unknown floor if the route leads to another group now.
+    fn follow_route(&mut self) {
+        let group = &self.grant.group().name;
+        if self.floor.group() != group && !self.transaction.is_open() {
+            self.floor = Floor::unknown(group.clone());
+            self.sight = self.ctx.groups.sight(group);
+        }
+    }
+
+    async fn close(mut self, end: End) {
+        if let Transaction::Held(held) = &self.transaction {
+            held.link.release(self.id);
+        }
+        let last = match &end {
+            End::Closed | End::Protocol(ProtocolError::Io(_)) => return,
+            End::Protocol(e) => error(Severity::Fatal, "08P01", e.to_string()),
+            End::Refused(refused) => refusal(Severity::Fatal, refused),
+        };
+        tracing::info!(event = "session_ended", session = self.id, reason = %end);
+        if let Err(e) = self.caller.send(last).await {
+            tracing::debug!(event = "goodbye_unsent", error = %e);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,114 @@
+//! Settings of an entry.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+
+use mustardbay_policy::names::DomainName;
+use mustardbay_policy::names::VmName;
+use mustardbay_process::settings::BadValue;
+use mustardbay_process::settings::Settings;
+use mustardbay_process::settings::override_from_env;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Settings of an entry, read from `entry.yaml`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Name of this virtual machine.
+    pub vm: VmName,
+    /// Failure domain of this virtual machine.
+    pub domain: DomainName,
+    /// Address `ip:port` that callers connect to.
+    pub callers: String,
+    /// Address `ip:port` of the admin endpoint.
+    pub admin: String,
+    /// Local address `ip:port` of the steward of this virtual machine.
+    pub steward: String,
+    /// Source address of connections to pools; the system chooses one if it is absent.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
+    /// Bounds on what callers may hold.
+    #[serde(default)]
+    pub limits: CallerLimits,
+}
+
+/// Bounds on what callers may hold of this process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerLimits {
+    /// Connections of callers.
+    pub connections: usize,
+    /// Time for a start-up to finish, in milliseconds.
+    pub startup_ms: u64,
+    /// Size of one message of a caller, in bytes.
+    pub message_bytes: usize,
+    /// Size of the messages up to one `Sync`, in bytes.
+    pub batch_bytes: usize,
+    /// Prepared statements that one session may keep.
+    pub statements: usize,
+    /// Time for work in flight to finish when the process drains, in milliseconds.
+    pub drain_ms: u64,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            startup_ms: 10_000,
+            message_bytes: 4 * 1024 * 1024,
+            batch_bytes: 8 * 1024 * 1024,
+            statements: 1_000,
+            drain_ms: 30_000,
+        }
+    }
+}
+
+impl Settings for EntrySettings {
+    fn check(&mut self) -> Result<(), BadValue> {
+        override_from_env(&mut self.callers, "MUSTARDBAY_CALLERS");
+        override_from_env(&mut self.admin, "MUSTARDBAY_ADMIN");
+        override_from_env(&mut self.steward, "MUSTARDBAY_STEWARD");
+        let mut vm = self.vm.to_string();
+        override_from_env(&mut vm, "MUSTARDBAY_VM");
+        self.vm = VmName::from(vm);
+        let mut domain = self.domain.to_string();
+        override_from_env(&mut domain, "MUSTARDBAY_DOMAIN");
+        self.domain = DomainName::from(domain);
+        check_address("callers", &self.callers)?;
+        check_address("admin", &self.admin)?;
+        check_address("steward", &self.steward)?;
+        self.limits.check()
+    }
+}
+
+impl CallerLimits {
+    fn check(&self) -> Result<(), BadValue> {
+        check_size("limits.connections", self.connections)?;
+        check_size("limits.message_bytes", self.message_bytes)?;
+        check_size("limits.batch_bytes", self.batch_bytes)?;
+        check_size("limits.statements", self.statements)?;
+        if self.batch_bytes > mustardbay_wire::MAX_FRAME_BYTES / 2 {
+            return Err(BadValue::new(
+                "limits.batch_bytes",
+                &self.batch_bytes,
+                format!("at most {}", mustardbay_wire::MAX_FRAME_BYTES / 2),
+            ));
+        }
+        Ok(())
+    }
+}
+
+fn check_address(key: &str, value: &str) -> Result<(), BadValue> {
+    match value.parse::<SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(BadValue::new(key, value, "ip:port")),
+    }
+}
+
+fn check_size(key: &str, value: usize) -> Result<(), BadValue> {
+    if value == 0 {
+        return Err(BadValue::new(key, &value, "1 or more"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/tests/entry/fake_steward.rs
@@ -0,0 +1,117 @@
+//! Steward that hands out a settable view and settable tokens.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use futures::SinkExt;
+use futures::StreamExt;
+use mustardbay_policy::view::View;
+use mustardbay_wire::DrawTokens;
+use mustardbay_wire::FromSteward;
+use mustardbay_wire::GrantTokens;
+use mustardbay_wire::ToSteward;
+use mustardbay_wire::ViewUpdate;
+use mustardbay_wire::framed;
+use mustardbay_wire::from_steward;
+use mustardbay_wire::to_steward;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// What the steward answers to a draw.
+#[derive(Debug, Clone, Copy)]
+pub struct Allowance {
+    /// Tokens left to give.
+    pub tokens: u64,
+    /// Validity of a grant, in milliseconds.
+    pub valid_ms: u64,
+    /// When a refused caller may come back, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// Handle to the fake.
+#[derive(Debug, Clone)]
+pub struct FakeSteward {
+    pub address: SocketAddr,
+    view: watch::Sender<View>,
+    pub allowance: Arc<Mutex<Allowance>>,
+    pub draws: Arc<Mutex<Vec<DrawTokens>>>,
+}
+
+impl FakeSteward {
+    /// Starts the fake with a first view and plenty of tokens.
+    pub async fn start(view: View) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let fake = Self {
+            address: listener.local_addr().unwrap(),
+            view: watch::Sender::new(view),
+            allowance: Arc::new(Mutex::new(Allowance {
+                tokens: 1_000_000,
+                valid_ms: 60_000,
+                retry_after_ms: 70,
+            })),
+            draws: Arc::default(),
+        };
+        let shared = fake.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(shared.clone().converse(stream));
+            }
+        });
+        fake
+    }
+
+    /// Changes the view and hands it out.
+    pub fn change(&self, change: impl FnOnce(&mut View)) {
+        self.view.send_modify(change);
+    }
+
+    async fn converse(self, stream: TcpStream) {
+        let mut socket = framed::<_, FromSteward, ToSteward>(stream);
+        let mut views = self.view.subscribe();
+        views.mark_changed();
+        loop {
+            let body = tokio::select! {
+                changed = views.changed() => match changed {
+                    Ok(()) => from_steward::Body::View(update(&views.borrow_and_update())),
+                    Err(_) => return,
+                },
+                message = socket.next() => match message {
+                    Some(Ok(ToSteward { body: Some(to_steward::Body::Draw(draw)) })) => {
+                        from_steward::Body::Grant(self.grant(draw))
+                    }
+                    Some(Ok(_)) => continue,
+                    _ => return,
+                },
+            };
+            if socket.send(FromSteward { body: Some(body) }).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn grant(&self, draw: DrawTokens) -> GrantTokens {
+        let mut allowance = self.allowance.lock().unwrap();
+        let granted = draw.wanted.min(allowance.tokens);
+        allowance.tokens -= granted;
+        let grant = GrantTokens {
+            request: draw.request,
+            account: draw.account.clone(),
+            granted,
+            valid_ms: allowance.valid_ms,
+            retry_after_ms: allowance.retry_after_ms,
+        };
+        drop(allowance);
+        self.draws.lock().unwrap().push(draw);
+        grant
+    }
+}
+
+fn update(view: &View) -> ViewUpdate {
+    ViewUpdate {
+        bundle: Some(serde_json::to_vec(&*view.bundle).unwrap().into()),
+        groups: Some(serde_json::to_vec(&view.groups).unwrap().into()),
+        vms: Some(serde_json::to_vec(&view.vms).unwrap().into()),
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/entry/startup.rs
@@ -0,0 +1,78 @@
+//! Start-up: keys, routes and what the pool gets to see of them.
+
+use test_case::test_case;
+
+use crate::bed::ACCOUNT;
+use crate::bed::Bed;
+use crate::bed::KEY;
+use crate::bed::OPEN_ROUTE;
+use crate::bed::ROUTE;
+use crate::bed::connect;
+use crate::bed::edit;
+use crate::bed::refused;
+use crate::bed::value;
+
+#[test_case(ACCOUNT, "wrong", ROUTE, "28P01"; "wrong key")]
+#[test_case("nobody", KEY, ROUTE, "28P01"; "unknown account")]
+#[test_case(ACCOUNT, KEY, "elsewhere", "42501"; "unknown route")]
+#[tokio::test]
+async fn startup_refused(user: &str, key: &str, route: &str, code: &str) {
+    let bed = Bed::start().await;
+    let mut config = bed.config();
+    config.user(user).password(key).dbname(route);
+    assert_eq!(refused(connect(&config).await).0, code);
+}
+
+#[tokio::test]
+async fn startup_open_route() {
+    let bed = Bed::start().await;
+    let mut config = bed.config();
+    config.user("anyone").password("").dbname(OPEN_ROUTE);
+    let client = connect(&config).await.unwrap();
+    assert_eq!(value(&client, "SELECT 1").await.unwrap(), "a");
+    assert_eq!(bed.pool.log()[0].account, "");
+}
+
+#[tokio::test]
+async fn startup_key_stays_here() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    assert_eq!(value(&client, "SELECT 1").await.unwrap(), "a");
+    let submit = &bed.pool.log()[0];
+    assert_eq!(submit.account, ACCOUNT);
+    let shown = format!("{submit:?}");
+    assert!(!shown.contains(KEY));
+    let state = admin_get(&bed, "/state").await;
+    assert!(!state.contains(KEY));
+    assert!(!state.contains("SCRAM-SHA-256$"));
+}
+
+#[tokio::test]
+async fn withdrawn_key_ends_the_session() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    assert_eq!(value(&client, "SELECT 1").await.unwrap(), "a");
+    bed.steward
+        .change(|view| edit(view, |bundle| bundle.accounts[0].keys.clear()));
+    let mut code = String::new();
+    while code.is_empty() {
+        if let Err(e) = client.simple_query("SELECT 1").await {
+            code = e.code().map_or("closed", |c| c.code()).to_owned();
+        }
+    }
+    assert_eq!(code, "28P01");
+}
+
+/// Fetches a page of the admin endpoint with a bare HTTP request.
+pub async fn admin_get(bed: &Bed, path: &str) -> String {
+    use tokio::io::AsyncReadExt;
+    use tokio::io::AsyncWriteExt;
+    let mut stream = tokio::net::TcpStream::connect(bed.entry.admin())
+        .await
+        .unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut page = String::new();
+    stream.read_to_string(&mut page).await.unwrap();
+    page
+}
--- /dev/null
+++ b/crates/entry/tests/entry/statements.rs
@@ -0,0 +1,125 @@
+//! Simple and extended queries, prepared statements and transactions over shared connections.
+
+use mustardbay_wire::Mode;
+
+use crate::bed::Bed;
+use crate::bed::eventually;
+use crate::bed::refused;
+use crate::bed::value;
+use crate::fake_pool::Act;
+
+fn modes(bed: &Bed) -> Vec<i32> {
+    bed.pool.log().iter().map(|s| s.mode).collect()
+}
+
+#[tokio::test]
+async fn query_simple_and_extended() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    assert_eq!(value(&client, "SELECT 1").await.unwrap(), "a");
+    let rows = client
+        .query("SELECT name FROM t WHERE id = $1", &[&"x"])
+        .await
+        .unwrap();
+    assert_eq!(rows[0].get::<_, &str>(0), "a");
+}
+
+#[tokio::test]
+async fn prepared_survives_other_batches() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    let first = client.prepare("SELECT 1 WHERE $1 = $1").await.unwrap();
+    let second = client.prepare("INSERT INTO t VALUES ($1)").await.unwrap();
+    for _ in 0..2 {
+        assert_eq!(client.query(&first, &[&"x", &"x"]).await.unwrap().len(), 1);
+        assert_eq!(client.execute(&second, &[&"y"]).await.unwrap(), 1);
+    }
+    let hidden: Vec<_> = bed
+        .pool
+        .log()
+        .into_iter()
+        .map(|s| s.hidden_parses)
+        .collect();
+    assert_eq!(hidden, [vec![], vec![], vec![0], vec![0], vec![0], vec![0]]);
+}
+
+#[tokio::test]
+async fn prepared_failure_is_not_kept() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    assert_eq!(refused(client.prepare("SELECT broken").await).0, "42601");
+    assert_eq!(value(&client, "SELECT 1").await.unwrap(), "a");
+}
+
+#[tokio::test]
+async fn transaction_continues_where_it_began() {
+    let bed = Bed::start().await;
+    let mut client = bed.client().await;
+    let transaction = client.transaction().await.unwrap();
+    transaction
+        .execute("INSERT INTO t VALUES ($1)", &[&"x"])
+        .await
+        .unwrap();
+    transaction.commit().await.unwrap();
+    let begin = Mode::Begin as i32;
+    let cont = Mode::Continue as i32;
+    assert_eq!(modes(&bed), [begin, cont, cont, cont]);
+}
+
+#[tokio::test]
+async fn transaction_error_state_is_the_upstreams() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    client.batch_execute("BEGIN").await.unwrap();
+    assert_eq!(refused(client.batch_execute("fail").await).0, "22012");
+    client.batch_execute("ROLLBACK").await.unwrap();
+    assert_eq!(value(&client, "SELECT 1").await.unwrap(), "a");
+    assert_eq!(*modes(&bed).last().unwrap(), Mode::Read as i32);
+}
+
+#[tokio::test]
+async fn token_follows_a_write() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    assert_eq!(value(&client, "SHOW mustardbay.session").await.unwrap(), "");
+    client
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
+    let token = value(&client, "SHOW mustardbay.session").await.unwrap();
+    assert_eq!(token, "v1.g1.1:1");
+}
+
+#[tokio::test]
+async fn answer_larger_than_the_window() {
+    let bed = Bed::start().await;
+    bed.pool.rows(2_000, 1_000);
+    let client = bed.client().await;
+    let rows = client.query("SELECT name FROM t", &[]).await.unwrap();
+    assert_eq!(rows.len(), 2_000);
+    eventually(|| bed.pool.credits() > 2_000_000).await;
+}
+
+#[tokio::test]
+async fn disconnect_releases_the_transaction() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    client.batch_execute("BEGIN").await.unwrap();
+    let session = bed.pool.log()[0].session;
+    drop(client);
+    eventually(|| bed.pool.releases() == [session]).await;
+}
+
+#[tokio::test]
+async fn statement_past_its_deadline_is_cancelled() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    client
+        .batch_execute("SET statement_timeout = 20")
+        .await
+        .unwrap();
+    bed.pool.will(Act::Hang);
+    let answer = client.batch_execute("INSERT INTO t VALUES (1)").await;
+    assert_eq!(refused(answer).0, "40003");
+    eventually(|| bed.pool.cancels().len() == 1).await;
+}
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -1,5 +1,13 @@
 //! Where work goes: the home of an upstream and the choice among a group's upstreams.
 
+mod choice;
 mod home;
+mod positions;
 
+pub use choice::Choice;
+pub use choice::Need;
+pub use choice::Scene;
+pub use choice::choose;
 pub use home::home;
+pub use positions::Positions;
+pub use positions::Sighting;
--- /dev/null
+++ b/crates/policy/tests/route.rs
@@ -0,0 +1,191 @@
+//! Choice of the upstream that serves a batch.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mustardbay_policy::bundle::Group;
+use mustardbay_policy::bundle::Upstream;
+use mustardbay_policy::names::DomainName;
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+use mustardbay_policy::position::Term;
+use mustardbay_policy::route::Choice;
+use mustardbay_policy::route::Need;
+use mustardbay_policy::route::Positions;
+use mustardbay_policy::route::Scene;
+use mustardbay_policy::route::Sighting;
+use mustardbay_policy::route::choose;
+use mustardbay_policy::statement::Access;
+use mustardbay_policy::view::GroupState;
+use test_case::test_case;
+
+/// Primary `a` and replicas `b` here and `c` elsewhere, seen at positions 10, 10 and 5.
+struct World {
+    group: Group,
+    state: GroupState,
+    positions: Positions,
+    tried: Vec<UpstreamName>,
+    start: Instant,
+}
+
+impl World {
+    fn new() -> Self {
+        let upstream = |name: &str, domain: &str| Upstream {
+            name: name.into(),
+            address: String::new(),
+            domain: domain.into(),
+            leaving: false,
+        };
+        let start = Instant::now();
+        let mut positions = Positions::default();
+        for (name, index) in [("a", 10), ("b", 10), ("c", 5)] {
+            let seen = Sighting {
+                applied: Position::new(1, index),
+                age: Duration::from_millis(200),
+                at: start,
+            };
+            positions.see(name.into(), seen);
+        }
+        Self {
+            group: Group {
+                name: "g1".into(),
+                slots: 2,
+                connections: 30,
+                upstreams: vec![
+                    upstream("a", "here"),
+                    upstream("b", "here"),
+                    upstream("c", "there"),
+                ],
+            },
+            state: GroupState {
+                term: Term(1),
+                primary: Some("a".into()),
+            },
+            positions,
+            tried: Vec::new(),
+            start,
+        }
+    }
+
+    fn choose(&self, need: &Need, after: Duration, loads: &[(&str, u32)]) -> String {
+        let scene = Scene {
+            group: &self.group,
+            state: &self.state,
+            positions: &self.positions,
+            here: &DomainName::from("here"),
+            tried: &self.tried,
+            now: self.start + after,
+        };
+        let load = |name: &UpstreamName| {
+            let found = loads.iter().find(|(n, _)| *n == name.as_str());
+            found.map_or(0, |(_, load)| *load)
+        };
+        let choice: Option<Choice<'_>> = choose(&scene, need, load);
+        choice.map_or_else(|| "none".to_owned(), |c| c.upstream.name.to_string())
+    }
+}
+
+fn read(floor: u64) -> Need {
+    Need {
+        access: Access::Read,
+        floor: Some(Position::new(1, floor)),
+        max_age: None,
+    }
+}
+
+fn aged(floor: Option<u64>, age: u64) -> Need {
+    Need {
+        access: Access::Read,
+        floor: floor.map(|index| Position::new(1, index)),
+        max_age: Some(Duration::from_millis(age)),
+    }
+}
+
+fn write() -> Need {
+    Need {
+        access: Access::Write,
+        floor: None,
+        max_age: None,
+    }
+}
+
+#[test_case(&read(5), &[], "b"; "local replica first")]
+#[test_case(&read(5), &[("b", 2)], "b"; "local replica with little load")]
+#[test_case(&read(5), &[("b", 3)], "c"; "remote replica when local is busy")]
+#[test_case(&read(10), &[("b", 9)], "b"; "only one covers")]
+#[test_case(&read(11), &[], "a"; "none covers")]
+#[test_case(&write(), &[], "a"; "write")]
+#[test_case(&aged(None, 500), &[], "b"; "age is enough")]
+#[test_case(&aged(None, 100), &[], "a"; "too old")]
+#[test_case(&aged(Some(11), 500), &[], "a"; "age never undercuts a floor")]
+fn choose_by_need(need: &Need, loads: &[(&str, u32)], expected: &str) {
+    assert_eq!(World::new().choose(need, Duration::ZERO, loads), expected);
+}
+
+#[test]
+fn choose_unknown_floor() {
+    let need = Need {
+        floor: None,
+        ..read(0)
+    };
+    assert_eq!(World::new().choose(&need, Duration::ZERO, &[]), "a");
+}
+
+#[test]
+fn choose_stale_sighting_is_probed() {
+    let world = World::new();
+    assert_eq!(
+        world.choose(&read(11), Duration::from_millis(200), &[]),
+        "b"
+    );
+}
+
+#[test]
+fn choose_after_failure() {
+    let mut world = World::new();
+    world.positions.fail("b".into(), world.start);
+    assert_eq!(world.choose(&read(5), Duration::from_millis(10), &[]), "c");
+    assert_eq!(world.choose(&read(5), Duration::from_secs(1), &[]), "b");
+    world.positions.recover(&"b".into());
+    assert_eq!(world.choose(&read(5), Duration::from_millis(10), &[]), "b");
+}
+
+#[test]
+fn choose_without_those_tried() {
+    let mut world = World::new();
+    world.tried = vec!["b".into(), "c".into()];
+    assert_eq!(world.choose(&read(5), Duration::ZERO, &[]), "a");
+    world.tried.push("a".into());
+    assert_eq!(world.choose(&read(5), Duration::ZERO, &[]), "none");
+}
+
+#[test]
+fn choose_without_leaving() {
+    let mut world = World::new();
+    world.group.upstreams[1].leaving = true;
+    assert_eq!(world.choose(&read(5), Duration::ZERO, &[]), "c");
+    world.group.upstreams[0].leaving = true;
+    assert_eq!(world.choose(&write(), Duration::ZERO, &[]), "none");
+}
+
+#[test]
+fn choose_during_promotion() {
+    let mut world = World::new();
+    world.state.primary = None;
+    world.positions.fail("a".into(), world.start);
+    assert_eq!(world.choose(&write(), Duration::ZERO, &[]), "none");
+    assert_eq!(world.choose(&read(5), Duration::ZERO, &[]), "b");
+}
+
+#[test]
+fn sighting_never_goes_back() {
+    let mut world = World::new();
+    let late = Sighting {
+        applied: Position::new(1, 2),
+        age: Duration::ZERO,
+        at: world.start + Duration::from_millis(1),
+    };
+    world.positions.see("b".into(), late);
+    let seen = world.positions.get(&"b".into()).unwrap();
+    assert_eq!(seen.applied, Position::new(1, 10));
+}
