Add the upstream and platform stand-ins

Cause: the programs need database servers with terms, positions and asynchronous replication, and a platform with compare-and-swap, leases and watches, to be tested against.

Change: the upstream speaks PostgreSQL v3 over SQLite files in WAL mode; writes are serialised, logged on commit and pulled by replicas over the same port. A fence excludes commits of lower terms because the commit checks the term under the same lock. The age of a replica counts a contact only once all that the primary held then is executed. The platform is a subset of the etcd v3 JSON gateway with a fault switch and counted calls.

--- /dev/null
+++ b/crates/lab/src/error.rs
@@ -0,0 +1,39 @@
+//! Failures of the lab's programs.
+
+use thiserror::Error;
+
+/// Why a stand-in or a measurement could not do its work.
+#[derive(Debug, Error)]
+pub enum LabError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}")]
+    Bind {
+        /// Address that was asked for.
+        address: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A socket failed.
+    #[error("socket failed: {0}")]
+    Socket(std::io::Error),
+    /// A stand-in's database failed.
+    #[error("database of the stand-in failed: {0}")]
+    Database(String),
+    /// A PostgreSQL connection failed, or an upstream answered with an error.
+    #[error("upstream failed: {0}")]
+    Postgres(#[from] tokio_postgres::Error),
+    /// An upstream answered without a row.
+    #[error("control function returned no row")]
+    NoAnswer,
+}
+
+impl LabError {
+    /// Returns the SQLSTATE of an upstream's error.
+    #[must_use]
+    pub fn sqlstate(&self) -> Option<&str> {
+        match self {
+            Self::Postgres(error) => error.code().map(tokio_postgres::error::SqlState::code),
+            _ => None,
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Stand-ins for what surrounds the proxy, and tools that put load on it and measure it.
+
+pub mod error;
+pub mod gate;
+pub mod group;
+pub mod http;
+pub mod platform;
+pub mod run;
+pub mod upstream;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,3 +1,11 @@
-//! Placeholder.
+//! Stand-ins, load and measurements for mustardbay.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    mustardbay_lab::run::run().await.into()
+}
