Parse, check, store and sign bundles

Cause: the bundle had types only; operators need every fault with its place, and a small change must not move the whole configuration.

--- a/crates/policy/src/bundle.rs
+++ b/crates/policy/src/bundle.rs
@@ -1,21 +1,52 @@
 //! The operators' configuration: accounts, keys, rates, routes and database groups.
+//!
+//! A bundle is written in YAML, checked whole, signed, and stored as content-addressed chunks of
+//! a hash tree, so that a small change moves few bytes.
+
+mod account;
+mod chunk;
+mod fault;
+mod group;
+mod head;
+mod key;
+mod key_verifier;
+mod limits;
+mod node;
+mod read;
+mod reader;
+mod route;
+mod rules;
+mod scram;
+mod signer;
+mod tree;
+mod upstream;
+mod version;
 
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::names::AccountName;
-use crate::names::DomainName;
-use crate::names::GroupName;
-use crate::names::KeyId;
-use crate::names::RouteName;
-use crate::names::UpstreamName;
-
-/// Number of an accepted bundle; only ever grows.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct BundleVersion(pub u64);
+pub use self::account::Account;
+pub use self::chunk::Assembly;
+pub use self::chunk::Chunk;
+pub use self::chunk::ChunkError;
+pub use self::chunk::ChunkHash;
+pub use self::fault::Fault;
+pub use self::fault::Faults;
+pub use self::group::Group;
+pub use self::head::Head;
+pub use self::head::HeadError;
+pub use self::key::Key;
+pub use self::key_verifier::KeyVerifier;
+pub use self::limits::Limits;
+pub use self::route::Route;
+pub use self::scram::ParseScramError;
+pub use self::scram::ScramSecret;
+pub use self::signer::ParseSignerError;
+pub use self::signer::Signer;
+pub use self::signer::SignerId;
+pub use self::tree::Tree;
+pub use self::upstream::Upstream;
+pub use self::version::BundleVersion;
 
 /// Whole configuration of the fleet.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -33,102 +64,32 @@
     pub limits: Limits,
 }
 
-/// Client account.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Account {
-    /// User name that callers present.
-    pub name: AccountName,
-    /// Verifiers of the keys that are granted.
-    pub keys: Vec<KeyVerifier>,
-    /// Statements per second over the whole fleet.
-    pub rate: f64,
-    /// Statements that may come at once over the whole fleet.
-    pub burst: f64,
-    /// Share of a pool's slots relative to other accounts.
-    #[serde(default = "one")]
-    pub weight: u32,
-    /// Routes that the account may use.
-    pub routes: Vec<RouteName>,
-}
-
-fn one() -> u32 {
-    1
-}
-
-/// Verifier of a key, in the form that PostgreSQL stores SCRAM secrets.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct KeyVerifier {
-    /// Public identifier of the key.
-    pub id: KeyId,
-    /// `SCRAM-SHA-256$iterations:salt$stored:server`, base64 as in PostgreSQL's `pg_authid`.
-    pub verifier: String,
-}
-
-/// Route from a database name to a group.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Route {
-    /// Database name that callers ask for.
-    pub name: RouteName,
-    /// Group that serves it.
-    pub group: GroupName,
-    /// Whether every caller may use it without a key.
-    #[serde(default)]
-    pub open: bool,
-}
-
-/// Database group.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Group {
-    /// Name of the group.
-    pub name: GroupName,
-    /// Statements that one upstream runs at once.
-    pub slots: u32,
-    /// Connections that one upstream accepts, control connections included.
-    pub connections: u32,
-    /// Database servers of the group.
-    pub upstreams: Vec<Upstream>,
-}
-
-/// Database server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Upstream {
-    /// Name, unique in its group.
-    pub name: UpstreamName,
-    /// Address `ip:port` of its PostgreSQL endpoint.
-    pub address: String,
-    /// Failure domain that it stands in.
-    pub domain: DomainName,
-    /// Whether it is leaving and must get no new work.
-    #[serde(default)]
-    pub leaving: bool,
-}
+impl Bundle {
+    /// Parses a bundle from YAML and checks it whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its place: syntax, unknown keys, wrong types and broken rules.
+    pub fn parse(yaml: &str) -> Result<Self, Faults> {
+        read::parse(yaml)
+    }
 
-/// Bounds that hold for the whole fleet.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Limits {
-    /// Longest time that a statement may take, in milliseconds.
-    pub statement_ms: u64,
-    /// Longest wait for a replica that is behind a session's floor, in milliseconds.
-    pub behind_ms: u64,
-    /// Longest wait for a replica's confirmation of a write, in milliseconds.
-    pub durable_ms: u64,
-    /// Silence after which a primary is suspected, in milliseconds.
-    pub suspect_ms: u64,
-}
+    /// Checks the rules that hold between the parts of a bundle.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its path.
+    pub fn check(&self) -> Result<(), Faults> {
+        Faults::into_result((), rules::faults(self))
+    }
 
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            statement_ms: 5_000,
-            behind_ms: 20,
-            durable_ms: 1_000,
-            suspect_ms: 600,
+    /// Returns a copy for display in which every key verifier reads `***`.
+    #[must_use]
+    pub fn masked(&self) -> Self {
+        let mut copy = self.clone();
+        for key in copy.accounts.iter_mut().flat_map(|a| a.keys.iter_mut()) {
+            "***".clone_into(&mut key.verifier);
         }
+        copy
     }
 }
--- /dev/null
+++ b/crates/policy/src/bundle/tree.rs
@@ -0,0 +1,191 @@
+//! Hash tree over the entries of a bundle.
+//!
+//! Entries are sorted by the hash of their kind and name. A node with few entries is a leaf that
+//! holds them; a larger one points to sixteen children, one for each next hexadecimal digit. The
+//! tree depends on the entries alone, so equal bundles have equal roots, and a changed entry
+//! changes one leaf and the inner nodes above it.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Account;
+use super::Bundle;
+use super::Chunk;
+use super::ChunkError;
+use super::ChunkHash;
+use super::Group;
+use super::Limits;
+use super::Route;
+
+/// Most entries in a leaf.
+const LEAF_ENTRIES: usize = 4;
+/// Children of an inner node.
+const FANOUT: usize = 16;
+/// Bytes of a child's hash; all zero for an empty child.
+const HASH_BYTES: usize = 32;
+/// First byte of an inner node.
+const INNER: u8 = b'I';
+/// First byte of a leaf.
+const LEAF: u8 = b'L';
+
+/// One independent part of a bundle.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum Entry {
+    Account(Account),
+    Route(Route),
+    Group(Group),
+    Limits(Limits),
+}
+
+impl Entry {
+    fn key(&self) -> ChunkHash {
+        let (kind, name) = match self {
+            Self::Account(a) => ("account", a.name.as_str()),
+            Self::Route(r) => ("route", r.name.as_str()),
+            Self::Group(g) => ("group", g.name.as_str()),
+            Self::Limits(_) => ("limits", ""),
+        };
+        ChunkHash::of(format!("{kind}/{name}").as_bytes())
+    }
+}
+
+/// Chunks of one bundle.
+#[derive(Debug, Clone)]
+pub struct Tree {
+    /// Hash of the root chunk.
+    pub root: ChunkHash,
+    /// Every chunk, children before the nodes that point to them.
+    pub chunks: Vec<Chunk>,
+}
+
+impl Tree {
+    /// Builds the tree of a bundle; the version is no part of it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a rate or burst is not finite, which [`Bundle::check`] rules out.
+    #[must_use]
+    pub fn build(bundle: &Bundle) -> Self {
+        let entries = entries(bundle);
+        let mut chunks = Vec::new();
+        let root = build_node(&entries.iter().collect::<Vec<_>>(), 0, &mut chunks);
+        Self { root, chunks }
+    }
+
+    /// Returns the bytes of all chunks that `older` does not hold.
+    #[must_use]
+    pub fn bytes_beyond(&self, older: &Self) -> usize {
+        let known: std::collections::BTreeSet<_> = older.chunks.iter().map(|c| c.hash).collect();
+        let new = self.chunks.iter().filter(|c| !known.contains(&c.hash));
+        new.map(|c| c.bytes.len()).sum()
+    }
+}
+
+fn entries(bundle: &Bundle) -> BTreeMap<ChunkHash, Entry> {
+    let accounts = bundle.accounts.iter().cloned().map(Entry::Account);
+    let routes = bundle.routes.iter().cloned().map(Entry::Route);
+    let groups = bundle.groups.iter().cloned().map(Entry::Group);
+    let limits = std::iter::once(Entry::Limits(bundle.limits.clone()));
+    let all = accounts.chain(routes).chain(groups).chain(limits);
+    all.map(|e| (e.key(), e)).collect()
+}
+
+fn build_node(
+    entries: &[(&ChunkHash, &Entry)],
+    depth: usize,
+    chunks: &mut Vec<Chunk>,
+) -> ChunkHash {
+    let chunk = if entries.len() <= LEAF_ENTRIES {
+        leaf(entries)
+    } else {
+        inner(entries, depth, chunks)
+    };
+    let hash = chunk.hash;
+    chunks.push(chunk);
+    hash
+}
+
+fn leaf(entries: &[(&ChunkHash, &Entry)]) -> Chunk {
+    let list: Vec<&Entry> = entries.iter().map(|(_, entry)| *entry).collect();
+    let json = serde_json::to_vec(&list).expect("entries of a checked bundle are valid JSON");
+    let mut bytes = vec![LEAF];
+    bytes.extend(json);
+    Chunk::new(bytes)
+}
+
+fn inner(entries: &[(&ChunkHash, &Entry)], depth: usize, chunks: &mut Vec<Chunk>) -> Chunk {
+    let mut bytes = vec![INNER];
+    for digit in 0..FANOUT {
+        let below: Vec<_> = entries
+            .iter()
+            .copied()
+            .filter(|(key, _)| digit_at(key, depth) == digit)
+            .collect();
+        if below.is_empty() {
+            bytes.extend([0; HASH_BYTES]);
+        } else {
+            bytes.extend(build_node(&below, depth + 1, chunks).as_bytes());
+        }
+    }
+    Chunk::new(bytes)
+}
+
+fn digit_at(key: &ChunkHash, depth: usize) -> usize {
+    let byte = key.as_bytes()[depth / 2];
+    let digit = if depth.is_multiple_of(2) {
+        byte >> 4
+    } else {
+        byte & 15
+    };
+    digit.into()
+}
+
+/// Returns the children of a chunk; a leaf has none.
+pub(super) fn children(chunk: &Chunk) -> Result<Vec<ChunkHash>, ChunkError> {
+    match chunk.bytes.split_first() {
+        Some((&LEAF, _)) => Ok(Vec::new()),
+        Some((&INNER, hashes)) if hashes.len() == FANOUT * HASH_BYTES => {
+            let (all, _) = hashes.as_chunks::<HASH_BYTES>();
+            let some = all.iter().filter(|h| **h != [0; HASH_BYTES]);
+            Ok(some.map(|h| ChunkHash::from_bytes(*h)).collect())
+        }
+        _ => Err(content_error(chunk, &"neither an inner node nor a leaf")),
+    }
+}
+
+/// Adds the entries of a leaf to a bundle; an inner node has none.
+pub(super) fn read_leaf(chunk: &Chunk, bundle: &mut Bundle) -> Result<(), ChunkError> {
+    let Some((&LEAF, json)) = chunk.bytes.split_first() else {
+        return Ok(());
+    };
+    let entries: Vec<Entry> = match serde_json::from_slice(json) {
+        Ok(entries) => entries,
+        Err(e) => return Err(content_error(chunk, &e)),
+    };
+    for entry in entries {
+        match entry {
+            Entry::Account(account) => bundle.accounts.push(account),
+            Entry::Route(route) => bundle.routes.push(route),
+            Entry::Group(group) => bundle.groups.push(group),
+            Entry::Limits(limits) => bundle.limits = limits,
+        }
+    }
+    Ok(())
+}
+
+/// Brings the parts of a bundle into the order of their names.
+pub(super) fn sort(bundle: &mut Bundle) {
+    bundle.accounts.sort_by(|a, b| a.name.cmp(&b.name));
+    bundle.routes.sort_by(|a, b| a.name.cmp(&b.name));
+    bundle.groups.sort_by(|a, b| a.name.cmp(&b.name));
+}
+
+fn content_error(chunk: &Chunk, cause: &impl ToString) -> ChunkError {
+    ChunkError::Content {
+        hash: chunk.hash,
+        cause: cause.to_string(),
+    }
+}
