--- /dev/null
+++ b/crates/policy/src/group/monitor/upkeep.rs
@@ -0,0 +1,105 @@
+//! Probes of the upstreams, and repair of those that lag behind the record.
+
+use std::time::Duration;
+
+use crate::group::Command;
+use crate::group::Monitor;
+use crate::group::Phase;
+use crate::group::Role;
+use crate::group::Sighting;
+use crate::names::UpstreamName;
+use crate::position::Term;
+
+impl Monitor {
+    /// Sends the probes that are due.
+    pub(super) fn probe(&mut self, primary: &UpstreamName, now: Duration, out: &mut Vec<Command>) {
+        let names = self.group.upstreams.iter().map(|upstream| &upstream.name);
+        for name in names.cloned().collect::<Vec<_>>() {
+            let is_primary = name == *primary;
+            if !is_primary && !self.drives(now) {
+                continue;
+            }
+            let period = if is_primary {
+                self.bounds.probe
+            } else {
+                self.bounds.check
+            };
+            let due = self
+                .probes
+                .get(&name)
+                .is_none_or(|last| now >= *last + period);
+            if due && self.probing.insert(name.clone()) {
+                self.probes.insert(name.clone(), now);
+                out.push(Command::Probe(name));
+            }
+        }
+    }
+
+    /// Tells whether this monitor repairs the group: its proposer, the first in rank, or any
+    /// other after the ones before it had their time.
+    fn drives(&self, now: Duration) -> bool {
+        let Some(recorded) = &self.record else {
+            return false;
+        };
+        let turn = self.bounds.retry.saturating_mul(self.rank());
+        recorded.record.proposer == self.me || now >= self.record_at.saturating_add(turn)
+    }
+
+    /// Compares an upstream with the record and mends what differs.
+    pub(super) fn seen(
+        &mut self,
+        upstream: &UpstreamName,
+        sighting: Sighting,
+        now: Duration,
+        out: &mut Vec<Command>,
+    ) {
+        self.probing.remove(upstream);
+        let Some(recorded) = &self.record else {
+            return;
+        };
+        let record = &recorded.record;
+        if sighting.term > record.term {
+            out.push(Command::Read);
+            return;
+        }
+        let (Phase::Chosen, Some(primary)) = (record.phase, &record.primary) else {
+            return;
+        };
+        let current = sighting.term == record.term;
+        let term = record.term;
+        if upstream == primary {
+            if current && sighting.role == Role::Primary {
+                self.contact = now;
+            } else if self.drives(now) {
+                out.push(Command::Fence(upstream.clone(), term));
+            }
+        } else if !(current && sighting.role == Role::Replica) && self.drives(now) {
+            out.push(Command::Follow(upstream.clone(), primary.clone(), term));
+        }
+    }
+
+    /// Has the other upstreams follow a primary that was promoted.
+    pub(super) fn promoted(
+        &mut self,
+        upstream: &UpstreamName,
+        term: Term,
+        now: Duration,
+        out: &mut Vec<Command>,
+    ) {
+        if self.term() != Some(term) {
+            return;
+        }
+        self.contact = now;
+        let others = self.group.upstreams.iter().map(|other| &other.name);
+        for other in others.filter(|other| *other != upstream) {
+            out.push(Command::Follow(other.clone(), upstream.clone(), term));
+        }
+    }
+
+    /// Reads the record again after a refused step, since a newer one may be the reason.
+    pub(super) fn step_failed(&mut self, term: Term, out: &mut Vec<Command>) {
+        if self.term() == Some(term) && self.duty.is_some() {
+            out.push(Command::Read);
+        }
+    }
+}
