Start whole fleets of the real programs from the lab

A fleet places every vm and upstream on a loopback address of its own, writes the settings files, submits a signed bundle, starts the programs and can kill, freeze and cut them. Not run yet: the entry, pool and steward are not there.

--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -2,6 +2,8 @@
 
 use thiserror::Error;
 
+use crate::demo::DemoError;
+
 /// Why a stand-in or a measurement could not do its work.
 #[derive(Debug, Error)]
 pub enum LabError {
@@ -22,6 +24,9 @@
     /// A PostgreSQL connection failed, or an upstream answered with an error.
     #[error("upstream failed: {0}")]
     Postgres(#[from] tokio_postgres::Error),
+    /// The demonstration could not go on.
+    #[error(transparent)]
+    Demo(#[from] DemoError),
     /// An upstream answered without a row.
     #[error("control function returned no row")]
     NoAnswer,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for what surrounds the proxy, and tools that put load on it and measure it.
 
+pub mod demo;
 pub mod error;
+pub mod fleet;
 pub mod gate;
 pub mod group;
 pub mod http;
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -1,10 +1,12 @@
 //! Command line of the lab.
 
+use clap::Args;
 use clap::Parser;
 use clap::Subcommand;
 use mustardbay_process::exit::Exit;
 use mustardbay_process::logs;
 
+use crate::demo;
 use crate::error::LabError;
 use crate::platform;
 use crate::platform::Platform;
@@ -23,10 +25,20 @@
 enum Command {
     /// Runs a stand-in for a database server.
     Upstream(UpstreamArgs),
+    /// Shows on a small fleet what mustardbay promises.
+    Demo(DemoArgs),
     /// Runs a stand-in for the platform's key-value service.
     Platform(platform::Config),
 }
 
+/// How the demonstration runs.
+#[derive(Debug, Args)]
+struct DemoArgs {
+    /// Print the fleet's addresses and keep it running until SIGTERM or Ctrl-C.
+    #[arg(long)]
+    stay: bool,
+}
+
 /// Runs the command line and returns the exit code.
 pub async fn run() -> Exit {
     let cli = match Cli::try_parse() {
@@ -45,6 +57,7 @@
 
 async fn execute(command: Command) -> Result<Exit, LabError> {
     match command {
+        Command::Demo(args) => return demonstrate(&args).await,
         Command::Upstream(args) => {
             let upstream = Upstream::start(args.into()).await?;
             println!("{}", upstream.address());
@@ -61,6 +74,21 @@
     Ok(Exit::Done)
 }
 
+/// Runs the demonstration; a promise that does not hold is a failure.
+async fn demonstrate(args: &DemoArgs) -> Result<Exit, LabError> {
+    if args.stay {
+        demo::stay().await?;
+        return Ok(Exit::Done);
+    }
+    let report = demo::tell().await?;
+    print!("{report}");
+    Ok(if report.all_held() {
+        Exit::Done
+    } else {
+        Exit::Failed
+    })
+}
+
 /// Prints what clap has to say; help and version are no failure.
 fn usage(error: &clap::Error) -> Exit {
     eprint!("{error}");
