Add relays that cut, freeze and delay links by source address

Cause: partitions and one-way delays of the failure domains have to be brought about between real processes on loopback.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod group;
 pub mod http;
 pub mod platform;
+pub mod relay;
 pub mod run;
 pub mod upstream;
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -8,6 +8,8 @@
 use crate::error::LabError;
 use crate::platform;
 use crate::platform::Platform;
+use crate::relay;
+use crate::relay::Relay;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamArgs;
 
@@ -25,6 +27,8 @@
     Upstream(UpstreamArgs),
     /// Runs a stand-in for the platform's key-value service.
     Platform(platform::Config),
+    /// Relays TCP links that can be cut, frozen and delayed.
+    Relay(relay::Config),
 }
 
 /// Runs the command line and returns the exit code.
@@ -57,6 +61,11 @@
             interrupted().await?;
             drop(platform);
         }
+        Command::Relay(config) => {
+            let relay = Relay::start(config).await?;
+            interrupted().await?;
+            drop(relay);
+        }
     }
     Ok(Exit::Done)
 }
