--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -10,6 +10,8 @@
 use crate::error::LabError;
 use crate::platform;
 use crate::platform::Platform;
+use crate::relay;
+use crate::relay::Relay;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamArgs;
 
@@ -29,6 +31,8 @@
     Demo(DemoArgs),
     /// Runs a stand-in for the platform's key-value service.
     Platform(platform::Config),
+    /// Relays TCP links that can be cut, frozen and delayed.
+    Relay(relay::Config),
 }
 
 /// How the demonstration runs.
@@ -70,6 +74,11 @@
             interrupted().await?;
             drop(platform);
         }
+        Command::Relay(config) => {
+            let relay = Relay::start(config).await?;
+            interrupted().await?;
+            drop(relay);
+        }
     }
     Ok(Exit::Done)
 }
