--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -3,6 +3,7 @@
 mod json;
 mod stream;
 
+use std::net::IpAddr;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -43,14 +44,18 @@
 impl Gateway {
     /// Creates a client of the gateways at `endpoints`, tried in turn.
     ///
+    /// Connections leave from `source`, if one is given.
+    ///
     /// # Errors
     ///
     /// Fails if the HTTP client cannot be set up.
     pub fn new(
         endpoints: impl IntoIterator<Item = impl Into<String>>,
+        source: Option<IpAddr>,
     ) -> Result<Self, PlatformError> {
         let http = reqwest::Client::builder()
             .no_proxy()
+            .local_address(source)
             .connect_timeout(CONNECT_TIMEOUT)
             .build()
             .map_err(|e| PlatformError::Unreachable(e.to_string()))?;
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! Steward of one virtual machine: it talks to the platform and to other stewards, and hands the
+//! local entry and pool a view of the fleet and tokens of the accounts' rates.
+
+mod board;
+mod cli;
+mod control;
+mod description;
+mod directory;
+mod groups;
+mod local;
+mod rate_desk;
+mod rates;
+mod settings;
+mod start;
+
+pub use board::Board;
+pub use cli::run;
+pub use settings::Login;
+pub use settings::StewardSettings;
+pub use start::Running;
+pub use start::StartError;
+pub use start::start;
--- /dev/null
+++ b/crates/steward/src/local.rs
@@ -0,0 +1,141 @@
+//! Endpoint for the entry and the pool of the same virtual machine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use futures::SinkExt;
+use futures::StreamExt;
+use kameo::actor::ActorRef;
+use mustardbay_wire::CodecError;
+use mustardbay_wire::FromSteward;
+use mustardbay_wire::GrantTokens;
+use mustardbay_wire::ToSteward;
+use mustardbay_wire::Wired;
+use mustardbay_wire::framed;
+use mustardbay_wire::from_steward;
+use mustardbay_wire::to_steward;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use crate::board::Board;
+use crate::board::Sent;
+use crate::rate_desk::Disconnect;
+use crate::rate_desk::Draw;
+use crate::rate_desk::RateDesk;
+use crate::rates::LinkId;
+
+/// Grants that may wait for a local program to read them.
+const OUTBOX_GRANTS: usize = 1024;
+
+type Socket = Wired<TcpStream, FromSteward, ToSteward>;
+
+/// Endpoint that pushes the view and answers draws of tokens.
+#[derive(Debug, Clone)]
+pub(crate) struct Local {
+    board: Arc<Board>,
+    desk: ActorRef<RateDesk>,
+    next_link: Arc<AtomicU64>,
+}
+
+impl Local {
+    pub(crate) fn new(board: Arc<Board>, desk: ActorRef<RateDesk>) -> Self {
+        Self {
+            board,
+            desk,
+            next_link: Arc::default(),
+        }
+    }
+
+    /// Serves in the background and returns the address listened on.
+    pub(crate) async fn serve(self, address: &str) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        tokio::spawn(self.accept(listener));
+        Ok(bound)
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().attend(stream));
+                }
+                Err(e) => {
+                    tracing::warn!(event = "local_accept_failed", error = %e);
+                    tokio::task::yield_now().await;
+                }
+            }
+        }
+    }
+
+    async fn attend(self, stream: TcpStream) {
+        let link = LinkId(self.next_link.fetch_add(1, Ordering::Relaxed));
+        if let Err(e) = self.converse(stream, link).await {
+            tracing::warn!(event = "local_link_failed", link = link.0, error = %e);
+        }
+        if self.desk.tell(Disconnect(link)).await.is_err() {
+            tracing::debug!(event = "rate_desk_gone");
+        }
+    }
+
+    async fn converse(&self, stream: TcpStream, link: LinkId) -> Result<(), CodecError> {
+        stream.set_nodelay(true)?;
+        let mut socket: Socket = framed(stream);
+        let mut changes = self.board.subscribe();
+        changes.mark_changed();
+        let mut sent = Sent::default();
+        let (outbox, mut grants) = mpsc::channel(OUTBOX_GRANTS);
+        loop {
+            tokio::select! {
+                posted = changes.changed() => {
+                    if posted.is_err() {
+                        return Ok(());
+                    }
+                    let update = changes.borrow_and_update().update(&mut sent);
+                    if let Some(update) = update {
+                        push(&mut socket, from_steward::Body::View(update)).await?;
+                    }
+                }
+                Some(grant) = grants.recv() => {
+                    push(&mut socket, from_steward::Body::Grant(grant)).await?;
+                }
+                message = socket.next() => match message {
+                    Some(message) => self.receive(message?, link, &outbox).await,
+                    None => return Ok(()),
+                },
+            }
+        }
+    }
+
+    async fn receive(&self, message: ToSteward, link: LinkId, outbox: &mpsc::Sender<GrantTokens>) {
+        match message.body {
+            Some(to_steward::Body::Hello(hello)) => {
+                let program = hello.program;
+                tracing::info!(event = "local_connected", link = link.0, program);
+            }
+            Some(to_steward::Body::Draw(draw)) => {
+                let draw = Draw {
+                    link,
+                    request: draw,
+                    reply: outbox.clone(),
+                };
+                if self.desk.tell(draw).await.is_err() {
+                    tracing::debug!(event = "rate_desk_gone");
+                }
+            }
+            Some(to_steward::Body::Health(health)) => {
+                let reachable = health.reachable;
+                let upstream = health.upstream;
+                tracing::debug!(event = "upstream_health", upstream, reachable);
+            }
+            None => {}
+        }
+    }
+}
+
+async fn push(socket: &mut Socket, body: from_steward::Body) -> Result<(), CodecError> {
+    socket.send(FromSteward { body: Some(body) }).await
+}
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -1,3 +1,10 @@
-//! Placeholder.
+//! Steward: platform and peers, configuration, membership, group terms and rate shares.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    mustardbay_steward::run().into()
+}
--- /dev/null
+++ b/crates/steward/src/rate_desk.rs
@@ -0,0 +1,155 @@
+//! Actor around the rate shares: draws of local programs and messages of other stewards.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use kameo::Actor;
+use kameo::message::Context;
+use kameo::message::Message;
+use mustardbay_policy::names::VmName;
+use mustardbay_wire::DrawTokens;
+use mustardbay_wire::GrantTokens;
+use tokio::sync::mpsc;
+
+use crate::board::Board;
+use crate::description::Description;
+use crate::rates::LinkId;
+use crate::rates::Rates;
+use crate::rates::RatesOutput;
+
+/// Actor that owns the rate shares.
+#[derive(Debug, Actor)]
+pub(crate) struct RateDesk {
+    rates: Rates,
+    board: Arc<Board>,
+    links: BTreeMap<LinkId, mpsc::Sender<GrantTokens>>,
+}
+
+impl RateDesk {
+    pub(crate) fn new(rates: Rates, board: Arc<Board>) -> Self {
+        Self {
+            rates,
+            board,
+            links: BTreeMap::new(),
+        }
+    }
+
+    fn carry_out(&mut self, outputs: Vec<RatesOutput>) {
+        for output in outputs {
+            match output {
+                RatesOutput::Grant(link, grant) => self.grant(link, grant),
+                RatesOutput::Peer(vm, _body) => {
+                    tracing::debug!(event = "rates_message_dropped", vm = %vm);
+                }
+            }
+        }
+    }
+
+    /// Sends a grant; a program that does not read loses the tokens.
+    fn grant(&self, link: LinkId, grant: GrantTokens) {
+        let sent = self.links.get(&link).map(|reply| reply.try_send(grant));
+        if !matches!(sent, Some(Ok(()))) {
+            tracing::debug!(event = "grant_dropped", link = link.0);
+        }
+    }
+}
+
+/// Draw of tokens by a local program.
+#[derive(Debug)]
+pub(crate) struct Draw {
+    pub(crate) link: LinkId,
+    pub(crate) request: DrawTokens,
+    pub(crate) reply: mpsc::Sender<GrantTokens>,
+}
+
+impl Message<Draw> for RateDesk {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Draw, _ctx: &mut Context<Self, ()>) {
+        let Draw {
+            link,
+            request,
+            reply,
+        } = msg;
+        self.links.entry(link).or_insert(reply);
+        let outputs = self.rates.on_draw(link, request, Instant::now());
+        self.carry_out(outputs);
+    }
+}
+
+/// End of a local program's connection.
+#[derive(Debug)]
+pub(crate) struct Disconnect(pub(crate) LinkId);
+
+impl Message<Disconnect> for RateDesk {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Disconnect, _ctx: &mut Context<Self, ()>) {
+        let Disconnect(link) = msg;
+        self.links.remove(&link);
+        let outputs = self.rates.on_disconnect(link, Instant::now());
+        self.carry_out(outputs);
+    }
+}
+
+/// Message of another steward about rate shares.
+#[derive(Debug)]
+pub(crate) struct FromPeer {
+    pub(crate) vm: VmName,
+    pub(crate) body: Bytes,
+}
+
+impl Message<FromPeer> for RateDesk {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: FromPeer, _ctx: &mut Context<Self, ()>) {
+        let outputs = self.rates.on_peer(&msg.vm, &msg.body, Instant::now());
+        self.carry_out(outputs);
+    }
+}
+
+/// Passage of time.
+#[derive(Debug)]
+pub(crate) struct Tick;
+
+impl Message<Tick> for RateDesk {
+    type Reply = ();
+
+    async fn handle(&mut self, _msg: Tick, _ctx: &mut Context<Self, ()>) {
+        let now = Instant::now();
+        let mut outputs = self.rates.on_view(&self.board.view(), now);
+        outputs.extend(self.rates.tick(now));
+        self.carry_out(outputs);
+    }
+}
+
+/// Return of every share before the steward leaves.
+#[derive(Debug)]
+pub(crate) struct HandBack;
+
+impl Message<HandBack> for RateDesk {
+    type Reply = ();
+
+    async fn handle(&mut self, _msg: HandBack, _ctx: &mut Context<Self, ()>) {
+        let outputs = self.rates.hand_back(Instant::now());
+        self.carry_out(outputs);
+    }
+}
+
+/// Request for a description of the shares.
+#[derive(Debug)]
+pub(crate) struct Dump;
+
+impl Message<Dump> for RateDesk {
+    type Reply = Description;
+
+    async fn handle(
+        &mut self,
+        _message: Dump,
+        _ctx: &mut Context<Self, Description>,
+    ) -> Description {
+        Description(self.rates.dump())
+    }
+}
--- /dev/null
+++ b/crates/steward/src/settings.rs
@@ -0,0 +1,129 @@
+//! Settings of the steward.
+
+use std::fmt;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+
+use mustardbay_policy::names::DomainName;
+use mustardbay_policy::names::VmName;
+use mustardbay_process::settings::BadValue;
+use mustardbay_process::settings::Settings;
+use mustardbay_process::settings::override_from_env;
+use serde::Deserialize;
+
+/// Length of an ed25519 public key in hexadecimal digits.
+const SIGNER_HEX_DIGITS: usize = 64;
+
+/// Settings of one steward.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StewardSettings {
+    /// Virtual machine that it runs on.
+    pub vm: VmName,
+    /// Failure domain of the virtual machine.
+    pub domain: DomainName,
+    /// Address `ip:port` where the local entry and pool connect.
+    pub local: String,
+    /// Address `ip:port` where other stewards connect.
+    pub peers: String,
+    /// Address `ip:port` that other stewards are told, if it differs from `peers`.
+    #[serde(default)]
+    pub advertise: Option<String>,
+    /// Address `ip:port` where other virtual machines reach the local pool.
+    pub pool: String,
+    /// Address `ip:port` of the admin endpoint.
+    pub admin: String,
+    /// Gateways of the platform, as `http://ip:port`.
+    pub platform: Vec<String>,
+    /// Public keys, in hexadecimal, that may sign bundles.
+    #[serde(default)]
+    pub signers: Vec<String>,
+    /// How it logs in to upstreams.
+    pub login: Login,
+    /// Source address of outgoing connections.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
+}
+
+/// How the steward logs in to upstreams.
+#[derive(Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Login {
+    /// User name.
+    pub user: String,
+    /// Password.
+    pub password: String,
+}
+
+impl fmt::Debug for Login {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Login")
+            .field("user", &self.user)
+            .field("password", &"***")
+            .finish()
+    }
+}
+
+impl Settings for StewardSettings {
+    fn check(&mut self) -> Result<(), BadValue> {
+        self.apply_environment();
+        let addresses = [
+            ("local", &self.local),
+            ("peers", &self.peers),
+            ("pool", &self.pool),
+            ("admin", &self.admin),
+        ];
+        for (key, address) in addresses {
+            check_address(key, address)?;
+        }
+        if let Some(address) = &self.advertise {
+            check_address("advertise", address)?;
+        }
+        if self.platform.is_empty() {
+            return Err(BadValue::new(
+                "platform",
+                "[]",
+                "at least one http://ip:port",
+            ));
+        }
+        for url in &self.platform {
+            if !url.starts_with("http://") {
+                return Err(BadValue::new("platform", url, "http://ip:port"));
+            }
+        }
+        for signer in &self.signers {
+            check_signer(signer)?;
+        }
+        Ok(())
+    }
+}
+
+impl StewardSettings {
+    fn apply_environment(&mut self) {
+        override_from_env(&mut self.local, "MUSTARDBAY_LOCAL");
+        override_from_env(&mut self.peers, "MUSTARDBAY_PEERS");
+        override_from_env(&mut self.pool, "MUSTARDBAY_POOL");
+        override_from_env(&mut self.admin, "MUSTARDBAY_ADMIN");
+        override_from_env(&mut self.login.user, "MUSTARDBAY_LOGIN_USER");
+        override_from_env(&mut self.login.password, "MUSTARDBAY_LOGIN_PASSWORD");
+        if let Ok(urls) = std::env::var("MUSTARDBAY_PLATFORM") {
+            self.platform = urls.split(',').map(str::to_owned).collect();
+        }
+    }
+}
+
+fn check_address(key: &str, address: &str) -> Result<(), BadValue> {
+    match address.parse::<SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(BadValue::new(key, address, "ip:port")),
+    }
+}
+
+fn check_signer(signer: &str) -> Result<(), BadValue> {
+    let plain = signer.len() == SIGNER_HEX_DIGITS && signer.chars().all(|c| c.is_ascii_hexdigit());
+    if plain {
+        return Ok(());
+    }
+    let allowed = format!("{SIGNER_HEX_DIGITS} hexadecimal digits");
+    Err(BadValue::new("signers", signer, allowed))
+}
