--- /dev/null
+++ b/crates/lab/src/run.rs
@@ -0,0 +1,122 @@
+//! Command line of the lab.
+
+use clap::Args;
+use clap::Parser;
+use clap::Subcommand;
+use mustardbay_process::exit::Exit;
+use mustardbay_process::logs;
+
+use crate::demo;
+use crate::error::LabError;
+use crate::platform;
+use crate::platform::Platform;
+use crate::relay;
+use crate::relay::Relay;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamArgs;
+
+/// Stand-ins, load and measurements for mustardbay.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs a stand-in for a database server.
+    Upstream(UpstreamArgs),
+    /// Shows on a small fleet what mustardbay promises.
+    Demo(DemoArgs),
+    /// Runs a stand-in for the platform's key-value service.
+    Platform(platform::Config),
+    /// Relays TCP links that can be cut, frozen and delayed.
+    Relay(relay::Config),
+}
+
+/// How the demonstration runs.
+#[derive(Debug, Args)]
+struct DemoArgs {
+    /// Print the fleet's addresses and keep it running until SIGTERM or Ctrl-C.
+    #[arg(long)]
+    stay: bool,
+}
+
+/// Runs the command line and returns the exit code.
+pub async fn run() -> Exit {
+    let cli = match Cli::try_parse() {
+        Ok(cli) => cli,
+        Err(e) => return usage(&e),
+    };
+    logs::init("mustardbay-lab");
+    match execute(cli.command).await {
+        Ok(exit) => exit,
+        Err(e) => {
+            eprintln!("mustardbay-lab: {e}");
+            Exit::Failed
+        }
+    }
+}
+
+async fn execute(command: Command) -> Result<Exit, LabError> {
+    match command {
+        Command::Demo(args) => return demonstrate(&args).await,
+        Command::Upstream(args) => {
+            let upstream = Upstream::start(args.into()).await?;
+            println!("{}", upstream.address());
+            interrupted().await?;
+            drop(upstream);
+        }
+        Command::Platform(config) => {
+            let platform = Platform::start(&config).await?;
+            println!("{}", platform.address());
+            interrupted().await?;
+            drop(platform);
+        }
+        Command::Relay(config) => {
+            let relay = Relay::start(config).await?;
+            interrupted().await?;
+            drop(relay);
+        }
+    }
+    Ok(Exit::Done)
+}
+
+/// Runs the demonstration; a promise that does not hold is a failure.
+async fn demonstrate(args: &DemoArgs) -> Result<Exit, LabError> {
+    if args.stay {
+        demo::stay().await?;
+        return Ok(Exit::Done);
+    }
+    let report = demo::tell().await?;
+    print!("{report}");
+    Ok(if report.all_held() {
+        Exit::Done
+    } else {
+        Exit::Failed
+    })
+}
+
+/// Prints what clap has to say; help and version are no failure.
+fn usage(error: &clap::Error) -> Exit {
+    eprint!("{error}");
+    if error.use_stderr() {
+        Exit::Usage
+    } else {
+        Exit::Done
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn interrupted() -> Result<(), LabError> {
+    use tokio::signal::unix::SignalKind;
+    use tokio::signal::unix::signal;
+    let mut terminate = signal(SignalKind::terminate()).map_err(LabError::Socket)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(LabError::Socket)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
