Serve entries from the pool: slots, floors, transactions and durable acknowledgements

Cause: upstream connections are scarce and need one home, which also knows positions and terms. Change: mustardbay-pool accepts entries, logs in to upstreams, runs at most slots statements at once, holds a transaction's connection for its session, checks term and floor where the statement runs, and holds the end of a committed write back until a replica has received it, one round of confirmation for all writes that wait. Messages pass through undecoded, cut by length.

--- /dev/null
+++ b/crates/pool/src/entry_link.rs
@@ -0,0 +1,174 @@
+//! Link of one entry: its requests, sessions and the order of its answers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use futures::SinkExt;
+use futures::StreamExt;
+use futures::stream::SplitSink;
+use mustardbay_wire::CodecError;
+use mustardbay_wire::ConfirmPosition;
+use mustardbay_wire::FromPool;
+use mustardbay_wire::Submit;
+use mustardbay_wire::ToPool;
+use mustardbay_wire::Wired;
+use mustardbay_wire::framed;
+use mustardbay_wire::to_pool;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::request::Answer;
+use crate::request::Batch;
+use crate::request::Session;
+use crate::request::Window;
+use crate::request::serve_confirm;
+use crate::request::serve_submit;
+use crate::server::Pool;
+
+/// Messages to an entry that may wait for its socket.
+const OUTBOX_MESSAGES: usize = 256;
+/// Window of answers that carry no rows.
+const SMALL_WINDOW: u64 = 1;
+
+type Socket = Wired<TcpStream, FromPool, ToPool>;
+type SharedSession = Arc<tokio::sync::Mutex<Session>>;
+
+/// Requests and sessions of one entry.
+struct EntryLink {
+    pool: Pool,
+    outbox: mpsc::Sender<FromPool>,
+    requests: Arc<Mutex<HashMap<u64, Running>>>,
+    sessions: HashMap<u64, SharedSession>,
+    tasks: TaskTracker,
+}
+
+/// Handle on a request that runs.
+struct Running {
+    cancel: CancellationToken,
+    window: Arc<Window>,
+}
+
+/// Serves one entry until its link ends, then releases its sessions.
+pub(crate) async fn serve_entry(pool: Pool, stream: TcpStream) -> Result<(), CodecError> {
+    stream.set_nodelay(true)?;
+    let socket: Socket = framed(stream);
+    let (sink, mut messages) = socket.split();
+    let (outbox, inbox) = mpsc::channel(OUTBOX_MESSAGES);
+    tokio::spawn(write_answers(sink, inbox));
+    let mut link = EntryLink {
+        pool,
+        outbox,
+        requests: Arc::default(),
+        sessions: HashMap::new(),
+        tasks: TaskTracker::new(),
+    };
+    let ended = loop {
+        match messages.next().await {
+            Some(Ok(message)) => link.receive(message),
+            Some(Err(e)) => break Err(e),
+            None => break Ok(()),
+        }
+    };
+    link.release_all().await;
+    ended
+}
+
+async fn write_answers(
+    mut sink: SplitSink<Socket, FromPool>,
+    mut inbox: mpsc::Receiver<FromPool>,
+) -> Result<(), CodecError> {
+    while let Some(message) = inbox.recv().await {
+        sink.feed(message).await?;
+        while let Ok(message) = inbox.try_recv() {
+            sink.feed(message).await?;
+        }
+        sink.flush().await?;
+    }
+    Ok(())
+}
+
+impl EntryLink {
+    fn receive(&mut self, message: ToPool) {
+        match message.body {
+            Some(to_pool::Body::Submit(submit)) => self.submit(submit),
+            Some(to_pool::Body::Credit(credit)) => {
+                if let Some(running) = lock(&self.requests).get(&credit.request) {
+                    running.window.grow(credit.bytes);
+                }
+            }
+            Some(to_pool::Body::Cancel(cancel)) => {
+                if let Some(running) = lock(&self.requests).get(&cancel.request) {
+                    running.cancel.cancel();
+                }
+            }
+            Some(to_pool::Body::Release(release)) => {
+                if let Some(session) = self.sessions.remove(&release.session) {
+                    self.tasks
+                        .spawn(async move { session.lock().await.end().await });
+                }
+            }
+            Some(to_pool::Body::Confirm(request)) => self.confirm(request),
+            None => {}
+        }
+    }
+
+    fn submit(&mut self, submit: Submit) {
+        let request = submit.request;
+        let window = Arc::new(Window::new(submit.window));
+        let batch = Batch::new(submit, Instant::now());
+        let cancel = CancellationToken::new();
+        let running = Running {
+            cancel: cancel.clone(),
+            window: Arc::clone(&window),
+        };
+        lock(&self.requests).insert(request, running);
+        let answer = Answer::new(request, self.outbox.clone(), window);
+        let session = Arc::clone(self.sessions.entry(batch.session).or_default());
+        let requests = Arc::clone(&self.requests);
+        let pool = self.pool.clone();
+        self.tasks.spawn(async move {
+            serve_submit(pool, session, batch, answer, cancel).await;
+            lock(&requests).remove(&request);
+        });
+    }
+
+    fn confirm(&self, request: ConfirmPosition) {
+        let window = Arc::new(Window::new(SMALL_WINDOW));
+        let answer = Answer::new(request.request, self.outbox.clone(), window);
+        self.tasks
+            .spawn(serve_confirm(self.pool.clone(), request, answer));
+    }
+
+    /// Ends what the entry left behind.
+    ///
+    /// Reads that still run are cancelled with everything else: nobody takes their answer.
+    async fn release_all(self) {
+        let Self {
+            outbox,
+            requests,
+            sessions,
+            tasks,
+            ..
+        } = self;
+        drop(outbox);
+        for running in lock(&requests).values() {
+            running.window.grow(u64::MAX);
+        }
+        for session in sessions.into_values() {
+            tasks.spawn(async move { session.lock().await.end().await });
+        }
+        tasks.close();
+        tasks.wait().await;
+    }
+}
+
+fn lock(
+    requests: &Mutex<HashMap<u64, Running>>,
+) -> std::sync::MutexGuard<'_, HashMap<u64, Running>> {
+    requests.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Home of a few upstreams: holds their connections and runs the statements that entries send.
+
+mod command_line;
+mod entry_link;
+mod request;
+mod server;
+mod settings;
+mod upstream;
+
+pub use command_line::run;
+pub use server::Pool;
+pub use settings::Login;
+pub use settings::PoolSettings;
--- /dev/null
+++ b/crates/pool/src/request.rs
@@ -0,0 +1,16 @@
+//! One request of an entry, from its arrival to its final answer.
+
+mod answer;
+mod batch;
+mod cancel;
+mod exchange;
+mod serve;
+mod session;
+mod window;
+
+pub(crate) use answer::Answer;
+pub(crate) use batch::Batch;
+pub(crate) use serve::serve_confirm;
+pub(crate) use serve::serve_submit;
+pub(crate) use session::Session;
+pub(crate) use window::Window;
--- /dev/null
+++ b/crates/pool/src/request/answer.rs
@@ -0,0 +1,116 @@
+//! Answer of one request on its way to the entry.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use mustardbay_policy::position::Position;
+use mustardbay_policy::refusal::Refusal;
+use mustardbay_wire::Chunk;
+use mustardbay_wire::Confirmed;
+use mustardbay_wire::Finished;
+use mustardbay_wire::FromPool;
+use mustardbay_wire::Refused;
+use mustardbay_wire::UpstreamPosition;
+use mustardbay_wire::from_pool;
+use tokio::sync::mpsc;
+
+use super::window::Window;
+
+/// Bytes after which a chunk is sent although more messages are at hand.
+const CHUNK_BYTES: usize = 32 * 1024;
+
+/// Answer of one request; at most one final message is sent.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    request: u64,
+    outbox: mpsc::Sender<FromPool>,
+    window: Arc<Window>,
+    chunk: BytesMut,
+    sent: usize,
+}
+
+impl Answer {
+    /// Creates the answer of `request`.
+    pub(crate) fn new(request: u64, outbox: mpsc::Sender<FromPool>, window: Arc<Window>) -> Self {
+        Self {
+            request,
+            outbox,
+            window,
+            chunk: BytesMut::new(),
+            sent: 0,
+        }
+    }
+
+    /// Adds a backend message; waits for the window when a chunk is full.
+    pub(crate) async fn push(&mut self, message: &[u8]) {
+        self.chunk.extend_from_slice(message);
+        if self.chunk.len() >= CHUNK_BYTES {
+            self.flush().await;
+        }
+    }
+
+    /// Sends what was pushed.
+    pub(crate) async fn flush(&mut self) {
+        if self.chunk.is_empty() {
+            return;
+        }
+        let messages = self.chunk.split().freeze();
+        self.send_chunk(messages).await;
+    }
+
+    /// Sends whole messages as they are, after what was pushed before.
+    pub(crate) async fn send_chunk(&mut self, messages: Bytes) {
+        self.window.take(messages.len()).await;
+        self.sent += messages.len();
+        let request = self.request;
+        self.send(from_pool::Body::Chunk(Chunk { request, messages }))
+            .await;
+    }
+
+    /// Returns how many bytes went out so far.
+    pub(crate) fn sent(&self) -> usize {
+        self.sent
+    }
+
+    /// Sends the end of the answer.
+    pub(crate) async fn finish(
+        mut self,
+        status: u8,
+        committed: Option<Position>,
+        positions: Vec<UpstreamPosition>,
+    ) {
+        self.flush().await;
+        let finished = Finished {
+            request: self.request,
+            status: status.into(),
+            committed: committed.map(Into::into),
+            positions,
+        };
+        self.send(from_pool::Body::Finished(finished)).await;
+    }
+
+    /// Refuses the request; what was pushed and not sent is dropped.
+    pub(crate) async fn refuse(self, refusal: Refusal, positions: Vec<UpstreamPosition>) {
+        let mut refused = Refused::new(self.request, refusal);
+        refused.positions = positions;
+        self.send(from_pool::Body::Refused(refused)).await;
+    }
+
+    /// Answers a request for a confirmed position.
+    pub(crate) async fn confirm(self, position: Position) {
+        let confirmed = Confirmed {
+            request: self.request,
+            position: Some(position.into()),
+        };
+        self.send(from_pool::Body::Confirmed(confirmed)).await;
+    }
+
+    /// Sends a message; without effect once the entry is gone.
+    async fn send(&self, body: from_pool::Body) {
+        let message = FromPool { body: Some(body) };
+        if self.outbox.send(message).await.is_err() {
+            tracing::debug!(event = "answer_unclaimed", request = self.request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/request/exchange.rs
@@ -0,0 +1,208 @@
+//! Exchange of one batch with an upstream: messages out, answer in, up to `ReadyForQuery`.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::FutureExt;
+use futures::StreamExt;
+use mustardbay_policy::position::Position;
+use pgwire::messages::PgWireBackendMessage;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio_util::codec::FramedRead;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::answer::Answer;
+use super::batch::Batch;
+use crate::upstream::Connection;
+use crate::upstream::HEADER_BYTES;
+use crate::upstream::Reported;
+use crate::upstream::SQLSTATE_READ_ONLY;
+use crate::upstream::SQLSTATE_TERM;
+use crate::upstream::SQLSTATE_TOO_MANY;
+use crate::upstream::UpstreamError;
+use crate::upstream::decode;
+use crate::upstream::reported;
+
+/// Bytes of an answer that are held until its commit is known to be durable.
+const MAX_HELD_BYTES: usize = 16 * 1024 * 1024;
+
+/// Type bytes of backend messages that the exchange looks at.
+mod kind {
+    pub(super) const READY: u8 = b'Z';
+    pub(super) const PARAMETER: u8 = b'S';
+    pub(super) const PARSED: u8 = b'1';
+    pub(super) const COMPLETE: u8 = b'C';
+    pub(super) const ERROR: u8 = b'E';
+    pub(super) const COPY_IN: u8 = b'G';
+    pub(super) const COPY_BOTH: u8 = b'W';
+    /// Messages that may precede an error which says that nothing ran.
+    pub(super) const PREAMBLE: &[u8] = b"123nNtT";
+}
+
+/// What the answer of a batch said.
+#[derive(Debug, Default)]
+pub(super) struct Summary {
+    /// Status byte of `ReadyForQuery`.
+    pub(super) status: u8,
+    /// Position that the upstream reported, if it moved.
+    pub(super) position: Option<Position>,
+    /// Whether a statement completed.
+    pub(super) completed: bool,
+    /// Whether a `COMMIT` completed.
+    pub(super) commit: bool,
+    /// Error by which the upstream says that it ran nothing.
+    pub(super) rejection: Option<UpstreamError>,
+    /// End of the answer, held back from the first completed statement on.
+    pub(super) held: BytesMut,
+    /// Everything that the upstream reported of itself.
+    pub(super) reports: Vec<Reported>,
+}
+
+impl Summary {
+    /// Returns the position that must be durable before the answer may be passed on.
+    pub(super) fn committed(&self) -> Option<Position> {
+        let ended = self.status == b'I' || self.commit;
+        self.position.filter(|_| self.completed && ended)
+    }
+}
+
+/// Writes the batch and passes its answer on.
+///
+/// The connection is clean again only if this returns `Ok`.
+pub(super) async fn exchange(
+    con: &mut Connection,
+    batch: &Batch,
+    answer: &mut Answer,
+) -> Result<Summary, UpstreamError> {
+    con.clean = false;
+    let write = write(&mut con.writer, &batch.messages);
+    let mut pump = Pump {
+        answer,
+        hold: batch.may_commit(),
+        hidden: &batch.hidden_parses,
+        parses: 0,
+        flushable: false,
+        summary: Summary::default(),
+    };
+    let ((), ()) = tokio::try_join!(write, pump.run(&mut con.reader))?;
+    let summary = pump.summary;
+    con.clean = true;
+    Ok(summary)
+}
+
+async fn write(
+    writer: &mut (impl AsyncWriteExt + Unpin),
+    messages: &Bytes,
+) -> Result<(), UpstreamError> {
+    writer.write_all(messages).await?;
+    Ok(())
+}
+
+/// Reads messages of one answer and passes them on or holds them.
+struct Pump<'a> {
+    answer: &'a mut Answer,
+    hold: bool,
+    hidden: &'a [u32],
+    parses: u32,
+    flushable: bool,
+    summary: Summary,
+}
+
+impl Pump<'_> {
+    async fn run(
+        &mut self,
+        reader: &mut FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    ) -> Result<(), UpstreamError> {
+        loop {
+            let next = if let Some(next) = reader.next().now_or_never() {
+                next
+            } else {
+                self.flush().await;
+                reader.next().await
+            };
+            let frame = next.ok_or(UpstreamError::Closed)??;
+            if frame.len() < HEADER_BYTES {
+                return Err(UpstreamError::Protocol("message without a length"));
+            }
+            if frame[0] == kind::READY {
+                self.summary.status = frame.last().copied().unwrap_or(b'I');
+                return Ok(());
+            }
+            self.take(frame).await?;
+        }
+    }
+
+    async fn take(&mut self, frame: BytesMut) -> Result<(), UpstreamError> {
+        match frame[0] {
+            kind::PARAMETER => return self.take_parameter(frame),
+            kind::PARSED if self.is_hidden_parse() => return Ok(()),
+            kind::COMPLETE => self.take_complete(&frame),
+            kind::ERROR => self.take_error(frame.clone())?,
+            kind::COPY_IN | kind::COPY_BOTH => {
+                return Err(UpstreamError::Protocol("copy from the client"));
+            }
+            _ => {}
+        }
+        self.flushable |= !kind::PREAMBLE.contains(&frame[0]);
+        if self.hold && self.summary.completed {
+            return self.hold_back(&frame);
+        }
+        self.answer.push(&frame).await;
+        Ok(())
+    }
+
+    fn take_parameter(&mut self, frame: BytesMut) -> Result<(), UpstreamError> {
+        let PgWireBackendMessage::ParameterStatus(status) = decode(frame)? else {
+            return Err(UpstreamError::Protocol("parameter status"));
+        };
+        let Some(report) = reported(&status) else {
+            return Ok(());
+        };
+        if let Reported::Position(position) = report {
+            self.summary.position = Some(position);
+        }
+        self.summary.reports.push(report);
+        Ok(())
+    }
+
+    fn is_hidden_parse(&mut self) -> bool {
+        let number = self.parses;
+        self.parses += 1;
+        self.hidden.contains(&number)
+    }
+
+    fn take_complete(&mut self, frame: &[u8]) {
+        self.summary.completed = true;
+        self.summary.commit |= frame[HEADER_BYTES..].starts_with(b"COMMIT");
+    }
+
+    fn take_error(&mut self, frame: BytesMut) -> Result<(), UpstreamError> {
+        let nothing_ran = !self.summary.completed && self.answer.sent() == 0;
+        let PgWireBackendMessage::ErrorResponse(error) = decode(frame)? else {
+            return Err(UpstreamError::Protocol("error response"));
+        };
+        let error = UpstreamError::refused(&error.fields);
+        let rejected = matches!(
+            error.code(),
+            Some(SQLSTATE_TERM | SQLSTATE_READ_ONLY | SQLSTATE_TOO_MANY)
+        );
+        if nothing_ran && rejected {
+            self.summary.rejection = Some(error);
+        }
+        Ok(())
+    }
+
+    fn hold_back(&mut self, frame: &[u8]) -> Result<(), UpstreamError> {
+        self.summary.held.extend_from_slice(frame);
+        if self.summary.held.len() > MAX_HELD_BYTES {
+            return Err(UpstreamError::Protocol("answer too large to hold"));
+        }
+        Ok(())
+    }
+
+    async fn flush(&mut self) {
+        if self.flushable && self.summary.rejection.is_none() {
+            self.answer.flush().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/request/session.rs
@@ -0,0 +1,48 @@
+//! Session of an entry at this pool: the connection of its open transaction.
+
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use crate::upstream::Leased;
+use crate::upstream::UpstreamKey;
+
+/// Longest time that a rollback may take before the connection is closed instead.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Session of an entry; locked while one of its requests runs.
+#[derive(Debug, Default)]
+pub(crate) struct Session {
+    held: Option<Leased>,
+}
+
+impl Session {
+    /// Takes the connection of the open transaction, if it is on `key`.
+    pub(super) fn take(&mut self, key: &UpstreamKey) -> Option<Leased> {
+        self.held.take_if(|held| held.upstream.key == *key)
+    }
+
+    /// Holds the connection of an open transaction.
+    pub(super) fn hold(&mut self, leased: Leased) {
+        self.held = Some(leased);
+    }
+
+    /// Rolls the open transaction back and gives its connection back.
+    pub(crate) async fn end(&mut self) {
+        if let Some(leased) = self.held.take() {
+            roll_back(leased).await;
+        }
+    }
+}
+
+/// Rolls a transaction back; closes the connection where that fails.
+pub(super) async fn roll_back(mut leased: Leased) {
+    if !leased.con.clean {
+        return;
+    }
+    match timeout(ROLLBACK_TIMEOUT, leased.con.query("ROLLBACK")).await {
+        Ok(Ok(_)) => leased.give_back(),
+        Ok(Err(e)) => tracing::info!(event = "rollback_failed", error = %e),
+        Err(_) => tracing::info!(event = "rollback_timed_out"),
+    }
+}
--- /dev/null
+++ b/crates/pool/src/server.rs
@@ -0,0 +1,177 @@
+//! Pool of one virtual machine: the upstreams that it serves and the endpoint for entries.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use mustardbay_link::StewardLink;
+use mustardbay_policy::names::GroupName;
+use mustardbay_policy::view::View;
+use mustardbay_process::dialer::Dialer;
+use mustardbay_process::lifecycle::Lifecycle;
+use mustardbay_wire::UpstreamPosition;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio_util::task::TaskTracker;
+
+use crate::entry_link::serve_entry;
+use crate::settings::PoolSettings;
+use crate::upstream::Sizes;
+use crate::upstream::Target;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamKey;
+
+type Upstreams = HashMap<UpstreamKey, Arc<Upstream>>;
+
+/// Pool of one virtual machine; clones share it.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: PoolSettings,
+    link: StewardLink,
+    life: Lifecycle,
+    upstreams: Mutex<Upstreams>,
+    links: TaskTracker,
+}
+
+impl Pool {
+    /// Creates a pool that serves nothing yet.
+    #[must_use]
+    pub fn new(settings: PoolSettings, link: StewardLink, life: Lifecycle) -> Self {
+        let shared = Shared {
+            settings,
+            link,
+            life,
+            upstreams: Mutex::default(),
+            links: TaskTracker::new(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Serves entries in the background and returns the address they connect to.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn serve(&self) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind(&self.shared.settings.entries).await?;
+        let address = listener.local_addr()?;
+        tracing::info!(event = "pool_started", %address, vm = self.shared.settings.vm);
+        tokio::spawn(accept_entries(self.clone(), listener));
+        Ok(address)
+    }
+
+    /// Returns a dump of the pool's state.
+    #[must_use]
+    pub fn dump(&self) -> Value {
+        let upstreams: Vec<Value> = self.served().iter().map(|u| dump_upstream(u)).collect();
+        json!({
+            "vm": self.shared.settings.vm,
+            "domain": self.shared.settings.domain,
+            "bundle": self.view().map(|view| view.bundle.version),
+            "draining": self.shared.life.is_draining(),
+            "entries": self.shared.links.len(),
+            "groups": self.view().map(|view| view.groups.clone()),
+            "upstreams": upstreams,
+        })
+    }
+
+    pub(crate) fn view(&self) -> Option<Arc<View>> {
+        self.shared.link.view()
+    }
+
+    /// Returns the upstream of that name, and serves it from now on if the bundle has it.
+    pub(crate) fn upstream(&self, view: &View, key: &UpstreamKey) -> Option<Arc<Upstream>> {
+        let group = view.bundle.groups.iter().find(|g| g.name == key.group)?;
+        let found = group.upstreams.iter().find(|u| u.name == key.upstream)?;
+        let mut upstreams = self.lock_upstreams();
+        if let Some(served) = upstreams.get(key)
+            && served.target.address == found.address
+        {
+            return Some(Arc::clone(served));
+        }
+        let settings = &self.shared.settings;
+        let target = Target {
+            address: found.address.clone(),
+            database: key.group.to_string(),
+            login: settings.login.clone(),
+            dialer: Dialer::new(settings.source),
+        };
+        let sizes = Sizes {
+            slots: group.slots,
+            connections: group.connections,
+        };
+        tracing::info!(event = "upstream_served", group = %key.group, upstream = %key.upstream);
+        let upstream = Arc::new(Upstream::new(key.clone(), target, sizes));
+        upstreams.insert(key.clone(), Arc::clone(&upstream));
+        Some(upstream)
+    }
+
+    /// Returns the newest positions known for a group's upstreams.
+    pub(crate) fn positions(&self, group: &GroupName) -> Vec<UpstreamPosition> {
+        let served = self.served();
+        let of_group = served.iter().filter(|u| u.key.group == *group);
+        of_group.filter_map(|u| position_of(u)).collect()
+    }
+
+    fn served(&self) -> Vec<Arc<Upstream>> {
+        self.lock_upstreams().values().cloned().collect()
+    }
+
+    fn lock_upstreams(&self) -> std::sync::MutexGuard<'_, Upstreams> {
+        let upstreams = self.shared.upstreams.lock();
+        upstreams.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn accept_entries(pool: Pool, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                tracing::warn!(event = "accept_failed", error = %e);
+                continue;
+            }
+        };
+        let served = pool.clone();
+        pool.shared.links.spawn(async move {
+            if let Err(e) = serve_entry(served, stream).await {
+                tracing::info!(event = "entry_link_failed", error = %e);
+            }
+        });
+    }
+}
+
+fn position_of(upstream: &Upstream) -> Option<UpstreamPosition> {
+    let applied = upstream.known.applied()?;
+    let age = upstream
+        .known
+        .age()
+        .map_or(u128::MAX, |age| age.as_millis());
+    Some(UpstreamPosition {
+        group: upstream.key.group.to_string(),
+        upstream: upstream.key.upstream.to_string(),
+        applied: Some(applied.into()),
+        age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+    })
+}
+
+fn dump_upstream(upstream: &Upstream) -> Value {
+    let (idle, free) = upstream.connections();
+    json!({
+        "group": upstream.key.group,
+        "upstream": upstream.key.upstream,
+        "applied": upstream.known.applied().map(|p| p.to_string()),
+        "idle_connections": idle,
+        "free_leases": free,
+    })
+}
--- /dev/null
+++ b/crates/pool/src/settings.rs
@@ -0,0 +1,83 @@
+//! Settings of the pool.
+
+use std::fmt;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+
+use mustardbay_process::settings::BadValue;
+use mustardbay_process::settings::Settings;
+use mustardbay_process::settings::override_from_env;
+use serde::Deserialize;
+
+/// Settings of one pool.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolSettings {
+    /// Name of this virtual machine.
+    pub vm: String,
+    /// Failure domain of this virtual machine.
+    pub domain: String,
+    /// Address that entries connect to.
+    pub entries: String,
+    /// Address of the admin endpoint.
+    pub admin: String,
+    /// Local address of the steward of this virtual machine.
+    pub steward: String,
+    /// Source address of outgoing connections.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
+    /// Login at the upstreams.
+    pub login: Login,
+}
+
+/// Login at the upstreams.
+#[derive(Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Login {
+    /// User name.
+    pub user: String,
+    /// Password.
+    #[serde(default)]
+    pub password: String,
+}
+
+impl fmt::Debug for Login {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Login")
+            .field("user", &self.user)
+            .field("password", &"***")
+            .finish()
+    }
+}
+
+impl Settings for PoolSettings {
+    fn check(&mut self) -> Result<(), BadValue> {
+        override_from_env(&mut self.vm, "MUSTARDBAY_VM");
+        override_from_env(&mut self.domain, "MUSTARDBAY_DOMAIN");
+        override_from_env(&mut self.entries, "MUSTARDBAY_ENTRIES");
+        override_from_env(&mut self.admin, "MUSTARDBAY_ADMIN");
+        override_from_env(&mut self.steward, "MUSTARDBAY_STEWARD");
+        override_from_env(&mut self.login.user, "MUSTARDBAY_LOGIN_USER");
+        override_from_env(&mut self.login.password, "MUSTARDBAY_LOGIN_PASSWORD");
+        check_address("entries", &self.entries)?;
+        check_address("admin", &self.admin)?;
+        check_address("steward", &self.steward)?;
+        check_name("vm", &self.vm)?;
+        check_name("domain", &self.domain)?;
+        check_name("login.user", &self.login.user)
+    }
+}
+
+fn check_address(key: &str, value: &str) -> Result<(), BadValue> {
+    match value.parse::<SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(BadValue::new(key, value, "ip:port")),
+    }
+}
+
+fn check_name(key: &str, value: &str) -> Result<(), BadValue> {
+    if value.is_empty() {
+        return Err(BadValue::new(key, value, "a name that is not empty"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/pool/src/upstream/confirmations.rs
@@ -0,0 +1,155 @@
+//! Confirmations by a primary's replicas, each round shared by every request that waits.
+
+use std::time::Duration;
+
+use mustardbay_policy::position::Position;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use super::connection::Connection;
+use super::connection::Target;
+use super::control::reopen;
+use super::error::UpstreamError;
+
+/// Waiters that may queue for the next round.
+const QUEUE: usize = 4096;
+/// Time that the answer of a round may take beyond the time given to the upstream.
+const ROUND_GRACE: Duration = Duration::from_millis(100);
+
+/// Rounds of confirmation at one upstream.
+#[derive(Debug)]
+pub(crate) struct Confirmations {
+    received: mpsc::Sender<Waiter>,
+    confirmed: mpsc::Sender<Waiter>,
+}
+
+/// Request that waits for a round.
+#[derive(Debug)]
+struct Waiter {
+    /// Position that must be received; `None` where the primary's own is asked for.
+    position: Option<Position>,
+    until: Instant,
+    answer: oneshot::Sender<Result<Position, UpstreamError>>,
+}
+
+impl Confirmations {
+    /// Starts the rounds; they open their connections on first use.
+    pub(super) fn start(target: &Target) -> Self {
+        Self {
+            received: start_rounds(target.clone()),
+            confirmed: start_rounds(target.clone()),
+        }
+    }
+
+    /// Waits until a replica has received `position`.
+    pub(crate) async fn wait_received(
+        &self,
+        position: Position,
+        until: Instant,
+    ) -> Result<Position, UpstreamError> {
+        wait(&self.received, Some(position), until).await
+    }
+
+    /// Waits for a position of the primary that a replica confirms after this call began.
+    pub(crate) async fn confirm(&self, until: Instant) -> Result<Position, UpstreamError> {
+        wait(&self.confirmed, None, until).await
+    }
+}
+
+async fn wait(
+    rounds: &mpsc::Sender<Waiter>,
+    position: Option<Position>,
+    until: Instant,
+) -> Result<Position, UpstreamError> {
+    let (answer, answered) = oneshot::channel();
+    let waiter = Waiter {
+        position,
+        until,
+        answer,
+    };
+    if rounds.try_send(waiter).is_err() {
+        return Err(UpstreamError::Timeout);
+    }
+    match tokio::time::timeout_at(until + ROUND_GRACE, answered).await {
+        Ok(Ok(result)) => result,
+        Ok(Err(_)) => Err(UpstreamError::Closed),
+        Err(_) => Err(UpstreamError::Timeout),
+    }
+}
+
+fn start_rounds(target: Target) -> mpsc::Sender<Waiter> {
+    let (send, inbox) = mpsc::channel(QUEUE);
+    tokio::spawn(run_rounds(target, inbox));
+    send
+}
+
+async fn run_rounds(target: Target, mut inbox: mpsc::Receiver<Waiter>) {
+    let mut con = None;
+    while let Some(first) = inbox.recv().await {
+        let mut waiting = vec![first];
+        while let Ok(next) = inbox.try_recv() {
+            waiting.push(next);
+        }
+        let result = run_round(&target, &mut con, &waiting).await;
+        answer_round(waiting, &result);
+    }
+}
+
+/// Runs one round for the furthest position that is waited for.
+async fn run_round(
+    target: &Target,
+    slot: &mut Option<Connection>,
+    waiting: &[Waiter],
+) -> Result<Position, UpstreamError> {
+    let now = Instant::now();
+    let until = waiting.iter().map(|w| w.until).max().unwrap_or(now);
+    let left = until.saturating_duration_since(now);
+    let position = waiting.iter().filter_map(|w| w.position).max();
+    let round = async {
+        let mut con = reopen(slot, target).await?;
+        let rows = con.query(&round_query(position, left)).await;
+        if con.clean {
+            *slot = Some(con);
+        }
+        parse_position(&rows?)
+    };
+    match timeout(left + ROUND_GRACE, round).await {
+        Ok(result) => result,
+        Err(_) => Err(UpstreamError::Timeout),
+    }
+}
+
+fn round_query(position: Option<Position>, left: Duration) -> String {
+    let timeout_ms = left.as_millis().max(1);
+    match position {
+        Some(position) => {
+            format!("SELECT * FROM mustardbay_wait_received('{position}', {timeout_ms})")
+        }
+        None => format!("SELECT * FROM mustardbay_confirm({timeout_ms})"),
+    }
+}
+
+fn parse_position(rows: &[Vec<Option<String>>]) -> Result<Position, UpstreamError> {
+    let text = rows.first().and_then(|row| row.first()).cloned().flatten();
+    match text.unwrap_or_default().parse() {
+        Ok(position) => Ok(position),
+        Err(_) => Err(UpstreamError::Protocol("no position")),
+    }
+}
+
+fn answer_round(waiting: Vec<Waiter>, result: &Result<Position, UpstreamError>) {
+    for waiter in waiting {
+        let answer = match result {
+            Ok(at) if waiter.position.is_some_and(|wanted| !at.covers(wanted)) => {
+                Err(UpstreamError::Protocol("position not received"))
+            }
+            Ok(at) => Ok(*at),
+            Err(e) => Err(e.shared()),
+        };
+        if waiter.answer.send(answer).is_err() {
+            tracing::debug!(event = "confirmation_unclaimed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/tests/pool/fake_steward.rs
@@ -0,0 +1,65 @@
+//! Steward that hands out views.
+
+use futures::SinkExt;
+use futures::StreamExt;
+use mustardbay_policy::view::View;
+use mustardbay_wire::FromSteward;
+use mustardbay_wire::ToSteward;
+use mustardbay_wire::ViewUpdate;
+use mustardbay_wire::Wired;
+use mustardbay_wire::framed;
+use mustardbay_wire::from_steward;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Steward whose view a test sets.
+pub struct FakeSteward {
+    pub address: String,
+    view: watch::Sender<View>,
+}
+
+impl FakeSteward {
+    pub async fn start(view: View) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address").to_string();
+        let view = watch::Sender::new(view);
+        let views = view.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(hand_out(stream, views.subscribe()));
+            }
+        });
+        Self { address, view }
+    }
+
+    /// Changes the view.
+    pub fn change(&self, change: impl FnOnce(&mut View)) {
+        self.view.send_modify(change);
+    }
+}
+
+async fn hand_out(stream: TcpStream, mut views: watch::Receiver<View>) {
+    let mut socket: Wired<TcpStream, FromSteward, ToSteward> = framed(stream);
+    loop {
+        let view = views.borrow_and_update().clone();
+        let update = ViewUpdate {
+            bundle: Some(serde_json::to_vec(&view.bundle).expect("json").into()),
+            groups: Some(serde_json::to_vec(&view.groups).expect("json").into()),
+            vms: Some(serde_json::to_vec(&view.vms).expect("json").into()),
+        };
+        let body = Some(from_steward::Body::View(update));
+        if socket.send(FromSteward { body }).await.is_err() {
+            return;
+        }
+        loop {
+            tokio::select! {
+                changed = views.changed() => match changed {
+                    Ok(()) => break,
+                    Err(_) => return,
+                },
+                message = socket.next() => if !matches!(message, Some(Ok(_))) { return },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/tests/pool/fake_upstream.rs
@@ -0,0 +1,353 @@
+//! Upstream that follows a few scripted rules and logs what it is sent.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use bytes::BufMut;
+use bytes::BytesMut;
+use mustardbay_policy::position::Position;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+const CANCEL_CODE: i32 = 80_877_102;
+
+/// What the upstream is and has seen.
+#[derive(Debug, Default)]
+pub struct State {
+    pub role: &'static str,
+    pub term: u64,
+    pub index: u64,
+    pub age_ms: i64,
+    /// Whether a replica receives what is written.
+    pub replicates: bool,
+    /// Whether new connections are refused with `53300`.
+    pub full: bool,
+    /// Whether nothing is answered any more.
+    pub frozen: bool,
+    /// Time that every confirmation round takes.
+    pub round: Duration,
+    /// Connection number and text of every statement, control functions left out.
+    pub log: Vec<(i32, String)>,
+    /// Calls of control functions.
+    pub control: Vec<String>,
+    /// Cancel requests, by connection number.
+    pub cancelled: Vec<i32>,
+    pub connections: i32,
+    pub open: i32,
+    pub running: usize,
+    pub most_running: usize,
+    hanging: HashMap<i32, Arc<Notify>>,
+}
+
+/// Scripted upstream.
+#[derive(Debug, Clone)]
+pub struct FakeUpstream {
+    pub address: String,
+    state: Arc<Mutex<State>>,
+    /// Lets every statement `HANG` end.
+    pub unhang: Arc<Notify>,
+}
+
+impl State {
+    fn begin(&mut self, number: i32, sql: &str) {
+        self.log.push((number, sql.to_owned()));
+        self.running += 1;
+        self.most_running = self.most_running.max(self.running);
+    }
+}
+
+impl FakeUpstream {
+    pub async fn start(role: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address").to_string();
+        let state = State {
+            role,
+            term: 1,
+            replicates: true,
+            ..State::default()
+        };
+        let upstream = Self {
+            address,
+            state: Arc::new(Mutex::new(state)),
+            unhang: Arc::default(),
+        };
+        let served = upstream.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let served = served.clone();
+                tokio::spawn(async move {
+                    let number = {
+                        let mut state = served.state();
+                        state.connections += 1;
+                        state.open += 1;
+                        state.connections
+                    };
+                    let _ended = Served::new(served.clone(), stream, number).run().await;
+                    served.state().open -= 1;
+                });
+            }
+        });
+        upstream
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("state")
+    }
+
+    /// Returns the statements that reached the upstream, control functions left out.
+    pub fn statements(&self) -> Vec<String> {
+        self.state()
+            .log
+            .iter()
+            .map(|(_, sql)| sql.clone())
+            .collect()
+    }
+}
+
+struct Served {
+    upstream: FakeUpstream,
+    stream: TcpStream,
+    number: i32,
+    term: Option<u64>,
+    in_transaction: bool,
+    wrote: bool,
+    reported: Option<String>,
+}
+
+impl Served {
+    fn new(upstream: FakeUpstream, stream: TcpStream, number: i32) -> Self {
+        Self {
+            upstream,
+            stream,
+            number,
+            term: None,
+            in_transaction: false,
+            wrote: false,
+            reported: None,
+        }
+    }
+
+    async fn run(mut self) -> std::io::Result<()> {
+        let len = self.stream.read_i32().await?;
+        let mut startup = vec![0; usize::try_from(len - 4).expect("length")];
+        self.stream.read_exact(&mut startup).await?;
+        let code = i32::from_be_bytes(startup[..4].try_into().expect("code"));
+        if code == CANCEL_CODE {
+            let number = i32::from_be_bytes(startup[4..8].try_into().expect("pid"));
+            let mut state = self.upstream.state();
+            state.cancelled.push(number);
+            if let Some(hanging) = state.hanging.remove(&number) {
+                hanging.notify_one();
+            }
+            return Ok(());
+        }
+        self.thaw().await;
+        let mut words = startup[4..].split(|b| *b == 0).map(String::from_utf8_lossy);
+        while let Some(key) = words.next() {
+            let value = words.next().unwrap_or_default();
+            if key == "mustardbay.term" {
+                self.term = value.parse().ok();
+            }
+        }
+        let mut out = BytesMut::new();
+        let (term, full) = {
+            let state = self.upstream.state();
+            (state.term, state.full)
+        };
+        if full {
+            error(&mut out, "53300", "too many connections");
+            return self.stream.write_all(&out).await;
+        }
+        if self.term.is_some_and(|t| t != term) {
+            error(&mut out, "MB001", "term is not in force");
+            return self.stream.write_all(&out).await;
+        }
+        put(&mut out, b'R', &0_i32.to_be_bytes());
+        let mut key = self.number.to_be_bytes().to_vec();
+        key.extend_from_slice(&7_i32.to_be_bytes());
+        put(&mut out, b'K', &key);
+        put(&mut out, b'Z', b"I");
+        self.stream.write_all(&out).await?;
+        self.serve_messages().await
+    }
+
+    async fn serve_messages(&mut self) -> std::io::Result<()> {
+        loop {
+            let kind = self.stream.read_u8().await?;
+            let len = self.stream.read_i32().await?;
+            let mut body = vec![0; usize::try_from(len - 4).expect("length")];
+            self.stream.read_exact(&mut body).await?;
+            self.thaw().await;
+            let mut out = BytesMut::new();
+            match kind {
+                b'Q' => {
+                    let sql = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
+                    self.query(&sql, &mut out).await?;
+                    self.ready(&mut out);
+                }
+                b'P' => put(&mut out, b'1', b""),
+                b'B' => put(&mut out, b'2', b""),
+                b'E' => complete(&mut out, "SELECT 0"),
+                b'S' => self.ready(&mut out),
+                b'X' => return Ok(()),
+                _ => {}
+            }
+            self.stream.write_all(&out).await?;
+        }
+    }
+
+    /// Waits while the upstream is frozen.
+    async fn thaw(&self) {
+        while self.upstream.state().frozen {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    async fn query(&mut self, sql: &str, out: &mut BytesMut) -> std::io::Result<()> {
+        if let Some(call) = sql.strip_prefix("SELECT * FROM mustardbay_") {
+            self.upstream.state().control.push(call.to_owned());
+            self.control(call, out).await;
+            return Ok(());
+        }
+        self.upstream.state().begin(self.number, sql);
+        let ended = self.statement(sql, out).await;
+        self.upstream.state().running -= 1;
+        ended
+    }
+
+    async fn statement(&mut self, sql: &str, out: &mut BytesMut) -> std::io::Result<()> {
+        let (term, role) = {
+            let state = self.upstream.state();
+            (state.term, state.role)
+        };
+        if self.term != Some(term) {
+            error(out, "MB001", "term is not in force");
+            return Ok(());
+        }
+        let mut words = sql.split(' ');
+        match words.next().unwrap_or_default() {
+            "BEGIN" => {
+                self.in_transaction = true;
+                complete(out, "BEGIN");
+            }
+            "COMMIT" => {
+                self.in_transaction = false;
+                if std::mem::take(&mut self.wrote) {
+                    self.upstream.state().index += 1;
+                }
+                complete(out, "COMMIT");
+            }
+            "ROLLBACK" => {
+                self.in_transaction = false;
+                self.wrote = false;
+                complete(out, "ROLLBACK");
+            }
+            "INSERT" if role != "primary" => error(out, "25006", "read-only upstream"),
+            "INSERT" => {
+                if self.in_transaction {
+                    self.wrote = true;
+                } else {
+                    self.upstream.state().index += 1;
+                }
+                complete(out, "INSERT 0 1");
+            }
+            "HANG" => {
+                let cancelled = Arc::new(Notify::new());
+                let hanging = Arc::clone(&cancelled);
+                self.upstream.state().hanging.insert(self.number, hanging);
+                tokio::select! {
+                    () = cancelled.notified() => error(out, "57014", "cancelled"),
+                    () = self.upstream.unhang.notified() => complete(out, "SELECT 0"),
+                }
+                self.upstream.state().hanging.remove(&self.number);
+            }
+            "DROP" => {
+                return Err(std::io::ErrorKind::ConnectionReset.into());
+            }
+            "ROWS" => {
+                let rows = words.next().and_then(|n| n.parse().ok()).unwrap_or(1);
+                for _ in 0..rows {
+                    row(out, &["x".repeat(1000).as_str()]);
+                    if out.len() > 8_000 {
+                        self.stream.write_all(&out.split()).await?;
+                    }
+                }
+                complete(out, "SELECT 1");
+            }
+            "FAIL" => error(out, "42601", "scripted failure"),
+            text => {
+                row(out, &[text, sql]);
+                complete(out, "SELECT 1");
+            }
+        }
+        Ok(())
+    }
+
+    async fn control(&self, call: &str, out: &mut BytesMut) {
+        let (at, role, term, age, replicates, round) = {
+            let s = self.upstream.state();
+            let at = Position::new(s.term, s.index).to_string();
+            (
+                at,
+                s.role,
+                s.term.to_string(),
+                s.age_ms,
+                s.replicates,
+                s.round,
+            )
+        };
+        if call.starts_with("position") {
+            row(out, &[role, &term, &at, &at, &age.to_string()]);
+            return complete(out, "SELECT 1");
+        }
+        tokio::time::sleep(round).await;
+        if replicates {
+            row(out, &[&at]);
+            return complete(out, "SELECT 1");
+        }
+        error(out, "MB002", "no confirmation in time");
+    }
+
+    fn ready(&mut self, out: &mut BytesMut) {
+        let at = {
+            let state = self.upstream.state();
+            Position::new(state.term, state.index).to_string()
+        };
+        if self.reported.as_ref() != Some(&at) {
+            put(out, b'S', format!("mustardbay.position\0{at}\0").as_bytes());
+            self.reported = Some(at);
+        }
+        put(out, b'Z', if self.in_transaction { b"T" } else { b"I" });
+    }
+}
+
+fn put(out: &mut BytesMut, kind: u8, body: &[u8]) {
+    out.put_u8(kind);
+    out.put_i32(i32::try_from(body.len() + 4).expect("length"));
+    out.put_slice(body);
+}
+
+fn complete(out: &mut BytesMut, tag: &str) {
+    put(out, b'C', format!("{tag}\0").as_bytes());
+}
+
+fn row(out: &mut BytesMut, columns: &[&str]) {
+    let mut body = BytesMut::new();
+    body.put_i16(i16::try_from(columns.len()).expect("columns"));
+    for column in columns {
+        body.put_i32(i32::try_from(column.len()).expect("length"));
+        body.put_slice(column.as_bytes());
+    }
+    put(out, b'D', &body);
+}
+
+fn error(out: &mut BytesMut, code: &str, message: &str) {
+    let body = format!("SERROR\0C{code}\0M{message}\0\0");
+    put(out, b'E', body.as_bytes());
+}
--- /dev/null
+++ b/crates/pool/tests/pool/fixture.rs
@@ -0,0 +1,125 @@
+//! Pool with a steward, a primary and a replica.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardbay_link::StewardLink;
+use mustardbay_policy::bundle::Bundle;
+use mustardbay_policy::bundle::BundleVersion;
+use mustardbay_policy::bundle::Group;
+use mustardbay_policy::bundle::Limits;
+use mustardbay_policy::bundle::Upstream;
+use mustardbay_policy::position::Term;
+use mustardbay_policy::view::GroupState;
+use mustardbay_policy::view::View;
+use mustardbay_pool::Login;
+use mustardbay_pool::Pool;
+use mustardbay_pool::PoolSettings;
+use mustardbay_process::lifecycle::Lifecycle;
+
+use crate::entry::Entry;
+use crate::fake_steward::FakeSteward;
+use crate::fake_upstream::FakeUpstream;
+
+/// Running pool and everything around it.
+pub struct Fixture {
+    pub pool: Pool,
+    pub address: String,
+    pub steward: FakeSteward,
+    pub primary: FakeUpstream,
+    pub replica: FakeUpstream,
+}
+
+/// Bounds used by most tests; generous, so that a busy machine changes no verdict.
+pub fn limits() -> Limits {
+    Limits {
+        statement_ms: 10_000,
+        behind_ms: 50,
+        durable_ms: 10_000,
+        suspect_ms: 600,
+    }
+}
+
+impl Fixture {
+    pub async fn start() -> Self {
+        Self::with_limits(limits()).await
+    }
+
+    pub async fn with_limits(limits: Limits) -> Self {
+        let primary = FakeUpstream::start("primary").await;
+        let replica = FakeUpstream::start("replica").await;
+        let steward = FakeSteward::start(view(&primary, &replica, limits)).await;
+        let settings = PoolSettings {
+            vm: "vm1".to_owned(),
+            domain: "oslo-a".to_owned(),
+            entries: "127.0.0.1:0".to_owned(),
+            admin: "127.0.0.1:0".to_owned(),
+            steward: steward.address.clone(),
+            source: None,
+            login: Login {
+                user: "mustardbay".to_owned(),
+                password: "secret".to_owned(),
+            },
+        };
+        let link = StewardLink::start(steward.address.clone(), "pool", 1);
+        let mut changes = link.changes();
+        while link.view().is_none() {
+            changes.changed().await.expect("view");
+        }
+        let pool = Pool::new(settings, link, Lifecycle::new());
+        let address = pool.serve().await.expect("bind").to_string();
+        Self {
+            pool,
+            address,
+            steward,
+            primary,
+            replica,
+        }
+    }
+
+    pub async fn entry(&self) -> Entry {
+        Entry::connect(&self.address).await
+    }
+}
+
+/// Waits until `condition` holds.
+pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..4_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("never happened: {what}");
+}
+
+fn view(primary: &FakeUpstream, replica: &FakeUpstream, limits: Limits) -> View {
+    let upstream = |name: &str, served: &FakeUpstream| Upstream {
+        name: name.into(),
+        address: served.address.clone(),
+        domain: "oslo-a".into(),
+        leaving: false,
+    };
+    let group = Group {
+        name: "g".into(),
+        slots: 2,
+        connections: 8,
+        upstreams: vec![upstream("p", primary), upstream("r", replica)],
+    };
+    let bundle = Bundle {
+        version: BundleVersion(1),
+        groups: vec![group],
+        limits,
+        ..Bundle::default()
+    };
+    let state = GroupState {
+        term: Term(1),
+        primary: Some("p".into()),
+    };
+    View {
+        bundle: Arc::new(bundle),
+        groups: BTreeMap::from([("g".into(), state)]),
+        vms: BTreeMap::new(),
+    }
+}
--- /dev/null
+++ b/crates/pool/tests/pool/main.rs
@@ -0,0 +1,12 @@
+//! The pool against a scripted upstream and steward.
+
+mod entry;
+mod fake_steward;
+mod fake_upstream;
+mod fixture;
+
+mod cancellation;
+mod durable;
+mod operations;
+mod reads;
+mod transactions;
