--- a/crates/policy/src/group/monitor.rs
+++ b/crates/policy/src/group/monitor.rs
@@ -166,6 +166,7 @@
             Some(recorded) => self.adopt(recorded, now, out),
             None if self.record.is_none() => {
                 self.absent_since.get_or_insert(now);
+                self.quiet_until = now;
             }
             None => {}
         }
--- a/crates/policy/src/group/monitor/election.rs
+++ b/crates/policy/src/group/monitor/election.rs
@@ -21,11 +21,16 @@
 impl Monitor {
     /// Creates the record of a group that has none, when it is this monitor's turn.
     pub(super) fn create(&mut self, now: Duration, out: &mut Vec<Command>) {
-        let (Some(since), Stage::Watching) = (self.absent_since, &self.stage) else {
+        if self.stage != Stage::Watching || now < self.quiet_until {
+            return;
+        }
+        let Some(since) = self.absent_since else {
+            self.quiet_until = now + self.bounds.takeover;
+            out.push(Command::Read);
             return;
         };
         let turn = self.bounds.takeover.saturating_mul(self.rank());
-        if now < since.saturating_add(turn) || now < self.quiet_until {
+        if now < since.saturating_add(turn) {
             return;
         }
         let staying = self
--- /dev/null
+++ b/crates/steward/src/bundles.rs
@@ -0,0 +1,312 @@
+//! Actor that brings newer bundles into force, from the platform or from other stewards.
+
+mod fetch;
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::error::Infallible;
+use kameo::message::Context;
+use kameo::message::Message;
+use mustardbay_platform::Platform;
+use mustardbay_policy::bundle::Assembly;
+use mustardbay_policy::bundle::ChunkHash;
+use mustardbay_policy::bundle::Head;
+use mustardbay_policy::bundle::SignerId;
+use mustardbay_policy::names::VmName;
+use mustardbay_wire::Chunks;
+use mustardbay_wire::peer_message::Body;
+
+use crate::board::Board;
+use crate::description::Description;
+use crate::outbox::Outbox;
+use crate::outbox::Outgoing;
+
+/// Key of the head of the bundle in force.
+pub(crate) const HEAD_KEY: &str = "mustardbay/bundle/head";
+/// Time after which chunks that did not arrive are asked for elsewhere.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Most chunks in one request.
+const FETCH_CHUNKS: usize = 128;
+/// Most sources that a pending bundle remembers.
+const MAX_SOURCES: usize = 8;
+
+/// Actor that owns the chunks of the bundle in force and of a newer one on its way.
+#[derive(Debug)]
+pub(crate) struct Bundles {
+    args: BundlesArgs,
+    assembly: Assembly,
+    head: Option<Head>,
+    pending: Option<Pending>,
+    itself: ActorRef<Self>,
+}
+
+/// What the actor starts with.
+#[derive(Debug)]
+pub(crate) struct BundlesArgs {
+    pub(crate) signers: Vec<SignerId>,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) board: Arc<Board>,
+    pub(crate) outbox: Outbox,
+}
+
+/// Newer bundle whose chunks are not all at hand.
+#[derive(Debug)]
+struct Pending {
+    head: Head,
+    sources: Vec<Source>,
+    turn: usize,
+    asked_at: Option<Instant>,
+}
+
+/// Where a head came from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// The platform.
+    Platform,
+    /// Another steward.
+    Peer(VmName),
+}
+
+impl Actor for Bundles {
+    type Args = BundlesArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: BundlesArgs, actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
+        Ok(Self {
+            args,
+            assembly: Assembly::default(),
+            head: None,
+            pending: None,
+            itself: actor_ref,
+        })
+    }
+}
+
+impl Bundles {
+    /// Takes in a head; one that is no newer or not signed by an operator changes nothing.
+    fn hear(&mut self, head: Head, source: Source) {
+        if head.version <= self.args.board.version() {
+            return;
+        }
+        if let Some(pending) = &mut self.pending
+            && pending.head == head
+        {
+            if !pending.sources.contains(&source) && pending.sources.len() < MAX_SOURCES {
+                pending.sources.push(source);
+            }
+            return;
+        }
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|pending| pending.head.version >= head.version)
+        {
+            return;
+        }
+        if let Err(e) = head.verify(&self.args.signers) {
+            tracing::error!(event = "bundle_head_rejected", ?source, error = %e);
+            return;
+        }
+        self.pending = Some(Pending {
+            head,
+            sources: vec![source],
+            turn: 0,
+            asked_at: None,
+        });
+        self.advance();
+    }
+
+    /// Puts the pending bundle in force, or asks for the chunks that it still needs.
+    fn advance(&mut self) {
+        let Some(pending) = &mut self.pending else {
+            return;
+        };
+        let missing = self.assembly.missing(&pending.head.root);
+        if missing.is_empty() {
+            self.put_in_force();
+            return;
+        }
+        if let Some(asked_at) = pending.asked_at {
+            if asked_at.elapsed() < FETCH_TIMEOUT {
+                return;
+            }
+            pending.turn += 1;
+        }
+        pending.asked_at = Some(Instant::now());
+        let source = &pending.sources[pending.turn % pending.sources.len()];
+        let wanted: Vec<ChunkHash> = missing.into_iter().take(FETCH_CHUNKS).collect();
+        match source {
+            Source::Platform => {
+                let platform = Arc::clone(&self.args.platform);
+                tokio::spawn(fetch::from_platform(platform, wanted, self.itself.clone()));
+            }
+            Source::Peer(vm) => {
+                let pull = fetch::pull(&wanted);
+                self.args.outbox.send(Outgoing::To(vm.clone(), pull));
+            }
+        }
+    }
+
+    fn put_in_force(&mut self) {
+        let Some(Pending { head, .. }) = self.pending.take() else {
+            return;
+        };
+        let version = head.version;
+        let bundle = match self.assembly.bundle(&head.root, version) {
+            Ok(bundle) => bundle,
+            Err(e) => {
+                tracing::error!(event = "bundle_rejected", %version, error = %e);
+                return;
+            }
+        };
+        if let Err(e) = bundle.check() {
+            tracing::error!(event = "bundle_rejected", %version, error = %e);
+            return;
+        }
+        self.assembly.retain(&head.root);
+        self.head = Some(head);
+        if self.args.board.post_bundle(bundle) {
+            tracing::info!(event = "bundle_in_force", %version);
+            self.args.outbox.send(Outgoing::Bundle);
+        }
+    }
+
+    fn take_in(&mut self, chunks: Vec<Bytes>) {
+        let Some(pending) = &mut self.pending else {
+            return;
+        };
+        let wanted = self.assembly.missing(&pending.head.root);
+        let mut added = false;
+        for chunk in chunks {
+            if !wanted.contains(&ChunkHash::of(&chunk)) {
+                continue;
+            }
+            match self.assembly.add(chunk.to_vec()) {
+                Ok(_) => added = true,
+                Err(e) => tracing::warn!(event = "bundle_chunk_rejected", error = %e),
+            }
+        }
+        if added {
+            pending.asked_at = None;
+            self.advance();
+        }
+    }
+}
+
+/// Head that the platform holds.
+#[derive(Debug)]
+pub(crate) struct PlatformHead(pub(crate) Head);
+
+impl Message<PlatformHead> for Bundles {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: PlatformHead, _ctx: &mut Context<Self, ()>) {
+        self.hear(msg.0, Source::Platform);
+    }
+}
+
+/// Head that another steward holds, in JSON.
+#[derive(Debug)]
+pub(crate) struct PeerHead {
+    pub(crate) vm: VmName,
+    pub(crate) json: Bytes,
+}
+
+impl Message<PeerHead> for Bundles {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: PeerHead, _ctx: &mut Context<Self, ()>) {
+        match serde_json::from_slice(&msg.json) {
+            Ok(head) => self.hear(head, Source::Peer(msg.vm)),
+            Err(e) => tracing::warn!(event = "bundle_head_rejected", vm = %msg.vm, error = %e),
+        }
+    }
+}
+
+/// Chunks that arrived.
+#[derive(Debug)]
+pub(crate) struct Fetched(pub(crate) Vec<Bytes>);
+
+impl Message<Fetched> for Bundles {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Fetched, _ctx: &mut Context<Self, ()>) {
+        self.take_in(msg.0);
+    }
+}
+
+/// Passage of time.
+#[derive(Debug)]
+pub(crate) struct Tick;
+
+impl Message<Tick> for Bundles {
+    type Reply = ();
+
+    async fn handle(&mut self, _msg: Tick, _ctx: &mut Context<Self, ()>) {
+        self.advance();
+    }
+}
+
+/// Request of another steward for the head in force.
+#[derive(Debug)]
+pub(crate) struct PullHead {
+    pub(crate) vm: VmName,
+}
+
+impl Message<PullHead> for Bundles {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: PullHead, _ctx: &mut Context<Self, ()>) {
+        let json = self.head.as_ref().map(serde_json::to_vec);
+        if let Some(Ok(json)) = json {
+            let body = Body::Head(Bytes::from(json));
+            self.args.outbox.send(Outgoing::To(msg.vm, body));
+        }
+    }
+}
+
+/// Request of another steward for chunks.
+#[derive(Debug)]
+pub(crate) struct PullChunks {
+    pub(crate) vm: VmName,
+    pub(crate) hashes: Vec<String>,
+}
+
+impl Message<PullChunks> for Bundles {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: PullChunks, _ctx: &mut Context<Self, ()>) {
+        let hashes = msg.hashes.iter().take(FETCH_CHUNKS);
+        let known = hashes.filter_map(|hash| self.assembly.get(&hash.parse().ok()?));
+        let chunks: Vec<Bytes> = known
+            .map(|chunk| Bytes::from(chunk.bytes.clone()))
+            .collect();
+        if !chunks.is_empty() {
+            let body = Body::Chunks(Chunks { chunks });
+            self.args.outbox.send(Outgoing::To(msg.vm, body));
+        }
+    }
+}
+
+/// Request for a description of the bundle.
+#[derive(Debug)]
+pub(crate) struct Dump;
+
+impl Message<Dump> for Bundles {
+    type Reply = Description;
+
+    async fn handle(&mut self, _msg: Dump, _ctx: &mut Context<Self, Description>) -> Description {
+        let pending = self.pending.as_ref();
+        Description(serde_json::json!({
+            "version": self.args.board.version(),
+            "root": self.head.as_ref().map(|head| head.root),
+            "signer": self.head.as_ref().map(|head| &head.signer),
+            "pending_version": pending.map(|pending| pending.head.version),
+        }))
+    }
+}
--- a/crates/steward/src/directory.rs
+++ b/crates/steward/src/directory.rs
@@ -1,152 +1,202 @@
 //! Actor that reads the platform: virtual machines, bundle and group records.
 
-use std::collections::BTreeMap;
+mod parse;
+mod subject;
+mod tracker;
+
 use std::sync::Arc;
+use std::time::Instant;
 
 use kameo::Actor;
 use kameo::actor::ActorRef;
+use kameo::error::Infallible;
 use kameo::message::Context;
 use kameo::message::Message;
 use mustardbay_platform::Entry;
 use mustardbay_platform::Platform;
-use mustardbay_platform::PlatformError;
-use mustardbay_policy::bundle::Bundle;
-use mustardbay_policy::group::Event;
-use mustardbay_policy::names::DomainName;
-use mustardbay_policy::names::GroupName;
 use mustardbay_policy::names::VmName;
-use mustardbay_policy::view::VmState;
-use serde::Deserialize;
 
 use crate::board::Board;
+use crate::bundles::Bundles;
+use crate::bundles::PlatformHead;
+use crate::description::Description;
+use crate::groups;
 use crate::groups::Groups;
-use crate::groups::RECORD_PREFIX;
-use crate::groups::Report;
-use crate::groups::parse_record;
-
-/// Prefix of the keys that list virtual machines.
-const VM_PREFIX: &str = "vms/";
-/// Key of a bundle in one piece.
-const PLAIN_BUNDLE_KEY: &str = "mustardbay/bundle/plain";
-
-/// Virtual machine as the platform lists it.
-#[derive(Debug, Clone, Deserialize)]
-struct ListedVm {
-    domain: DomainName,
-    peer: String,
-    pool: String,
-    #[serde(default)]
-    leaving: bool,
-}
+use crate::peers;
+use crate::peers::Peers;
+use subject::Subject;
+use tracker::Tracker;
 
 /// Actor that keeps up with the platform.
-#[derive(Debug, Actor)]
+#[derive(Debug)]
 pub(crate) struct Directory {
-    platform: Arc<dyn Platform>,
-    board: Arc<Board>,
-    groups: ActorRef<Groups>,
-    me: (VmName, VmState),
+    args: DirectoryArgs,
+    trackers: Vec<Tracker>,
+    vms: Vec<Entry>,
+    itself: ActorRef<Self>,
+}
+
+/// What the actor starts with.
+#[derive(Debug)]
+pub(crate) struct DirectoryArgs {
+    pub(crate) vm: VmName,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) board: Arc<Board>,
+    pub(crate) bundles: ActorRef<Bundles>,
+    pub(crate) groups: ActorRef<Groups>,
+    pub(crate) peers: ActorRef<Peers>,
+}
+
+impl Actor for Directory {
+    type Args = DirectoryArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: DirectoryArgs, actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
+        let now = Instant::now();
+        Ok(Self {
+            args,
+            trackers: Subject::ALL
+                .map(|subject| Tracker::new(subject, now))
+                .into(),
+            vms: Vec::new(),
+            itself: actor_ref,
+        })
+    }
 }
 
 impl Directory {
-    pub(crate) fn new(
-        platform: Arc<dyn Platform>,
-        board: Arc<Board>,
-        groups: ActorRef<Groups>,
-        me: (VmName, VmState),
-    ) -> Self {
-        Self {
-            platform,
-            board,
-            groups,
-            me,
+    /// Reads or watches again whatever is due.
+    fn tick(&mut self) {
+        let now = Instant::now();
+        let watches = subject::is_watcher(&self.args.vm, &self.args.board.view().vms);
+        for tracker in &mut self.trackers {
+            if tracker.begin(now) {
+                let platform = Arc::clone(&self.args.platform);
+                let itself = self.itself.clone();
+                tokio::spawn(tracker::run(tracker.subject(), watches, platform, itself));
+            }
         }
     }
 
-    async fn refresh(&self) -> Result<(), PlatformError> {
-        let listing = self.platform.list(VM_PREFIX).await?;
-        if self.board.post_vms(self.vms(&listing.entries)) {
-            tracing::info!(event = "vms_changed");
-        }
-        if let Some(entry) = self.platform.get(PLAIN_BUNDLE_KEY).await? {
-            self.post_bundle(&entry);
+    async fn take_in(&mut self, subject: Subject, entries: Vec<Entry>, whole: bool) {
+        match subject {
+            Subject::Vms => self.take_in_vms(entries, whole).await,
+            Subject::Head => self.take_in_heads(entries).await,
+            Subject::Groups => self.take_in_groups(entries).await,
         }
-        let records = self.platform.list(RECORD_PREFIX).await?;
-        self.report_groups(&records.entries).await;
-        Ok(())
     }
 
-    fn vms(&self, entries: &[Entry]) -> BTreeMap<VmName, VmState> {
-        let listed = entries.iter().filter_map(parse_vm);
-        let (name, state) = self.me.clone();
-        listed.chain([(name, state)]).collect()
+    async fn take_in_vms(&mut self, entries: Vec<Entry>, whole: bool) {
+        if whole {
+            self.vms = entries;
+        } else {
+            self.vms
+                .retain(|known| entries.iter().all(|entry| entry.key != known.key));
+            self.vms.extend(entries);
+        }
+        let listed = self.vms.iter().filter_map(parse::vm).collect();
+        if self.args.peers.tell(peers::Listed(listed)).await.is_err() {
+            tracing::debug!(event = "peers_gone");
+        }
     }
 
-    fn post_bundle(&self, entry: &Entry) {
-        match serde_json::from_slice::<Bundle>(&entry.value) {
-            Ok(bundle) => {
-                let version = bundle.version.0;
-                if self.board.post_bundle(bundle) {
-                    tracing::info!(event = "bundle_in_force", version);
-                }
+    async fn take_in_heads(&self, entries: Vec<Entry>) {
+        for head in entries.iter().filter_map(parse::head) {
+            if self.args.bundles.tell(PlatformHead(head)).await.is_err() {
+                tracing::debug!(event = "bundles_gone");
             }
-            Err(e) => tracing::error!(event = "bundle_rejected", error = %e),
         }
     }
 
-    async fn report_groups(&self, entries: &[Entry]) {
-        let records: BTreeMap<&str, &Entry> = entries
-            .iter()
-            .filter_map(|entry| Some((entry.key.strip_prefix(RECORD_PREFIX)?, entry)))
-            .collect();
-        for group in &self.board.view().bundle.groups {
-            let entry = records.get(group.name.as_str());
-            let recorded = entry.and_then(|entry| parse_record(entry));
-            if entry.is_some() && recorded.is_none() {
-                continue;
+    async fn take_in_groups(&self, entries: Vec<Entry>) {
+        for (group, recorded) in entries.iter().filter_map(parse::group) {
+            let heard = groups::Heard { group, recorded };
+            if self.args.groups.tell(heard).await.is_err() {
+                tracing::debug!(event = "groups_gone");
             }
-            self.report(group.name.clone(), Event::Record(recorded))
-                .await;
         }
     }
+}
 
-    async fn report(&self, group: GroupName, event: Event) {
-        if self.groups.tell(Report { group, event }).await.is_err() {
-            tracing::debug!(event = "groups_gone");
-        }
+/// Passage of time.
+#[derive(Debug)]
+pub(crate) struct Tick;
+
+impl Message<Tick> for Directory {
+    type Reply = ();
+
+    async fn handle(&mut self, _msg: Tick, _ctx: &mut Context<Self, ()>) {
+        self.tick();
     }
 }
 
-fn parse_vm(entry: &Entry) -> Option<(VmName, VmState)> {
-    let name = entry.key.strip_prefix(VM_PREFIX)?;
-    match serde_json::from_slice::<ListedVm>(&entry.value) {
-        Ok(listed) => {
-            let state = VmState {
-                domain: listed.domain,
-                incarnation: 0,
-                pool: listed.pool,
-                peer: listed.peer,
-                leaving: listed.leaving,
-            };
-            Some((VmName::from(name), state))
-        }
-        Err(e) => {
-            tracing::error!(event = "vm_rejected", vm = name, error = %e);
-            None
+/// Entries that were read or that changed.
+#[derive(Debug)]
+struct Read {
+    subject: Subject,
+    entries: Vec<Entry>,
+    /// Whether these are all entries of the subject.
+    whole: bool,
+}
+
+impl Message<Read> for Directory {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Read, _ctx: &mut Context<Self, ()>) {
+        self.take_in(msg.subject, msg.entries, msg.whole).await;
+    }
+}
+
+/// Key that was deleted.
+#[derive(Debug)]
+struct Deleted {
+    subject: Subject,
+    key: String,
+}
+
+impl Message<Deleted> for Directory {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Deleted, _ctx: &mut Context<Self, ()>) {
+        if let Subject::Vms = msg.subject {
+            let mut left = std::mem::take(&mut self.vms);
+            left.retain(|entry| entry.key != msg.key);
+            self.take_in_vms(left, true).await;
         }
     }
 }
 
-/// Time to read the platform again.
+/// End of a read and of the watch after it.
 #[derive(Debug)]
-pub(crate) struct Refresh;
+struct Ended {
+    subject: Subject,
+    answered: bool,
+    watched: bool,
+}
 
-impl Message<Refresh> for Directory {
+impl Message<Ended> for Directory {
     type Reply = ();
 
-    async fn handle(&mut self, _msg: Refresh, _ctx: &mut Context<Self, ()>) {
-        if let Err(e) = self.refresh().await {
-            tracing::warn!(event = "platform_not_read", error = %e);
+    async fn handle(&mut self, msg: Ended, _ctx: &mut Context<Self, ()>) {
+        let now = Instant::now();
+        for tracker in &mut self.trackers {
+            if tracker.subject() == msg.subject {
+                tracker.end(msg.answered, msg.watched, now);
+            }
         }
     }
 }
+
+/// Request for a description of what is read.
+#[derive(Debug)]
+pub(crate) struct Dump;
+
+impl Message<Dump> for Directory {
+    type Reply = Description;
+
+    async fn handle(&mut self, _msg: Dump, _ctx: &mut Context<Self, Description>) -> Description {
+        let now = Instant::now();
+        let trackers = self.trackers.iter().map(|tracker| tracker.dump(now));
+        Description(trackers.collect())
+    }
+}
--- a/crates/steward/src/groups.rs
+++ b/crates/steward/src/groups.rs
@@ -3,6 +3,7 @@
 mod effects;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -20,9 +21,17 @@
 use mustardbay_policy::group::Proposer;
 use mustardbay_policy::group::Recorded;
 use mustardbay_policy::names::GroupName;
+use mustardbay_policy::names::VmName;
+use mustardbay_policy::position::Term;
+use mustardbay_wire::AskOpinion;
+use mustardbay_wire::peer_message::Body;
 
 use crate::board::Board;
 use crate::description::Description;
+use crate::outbox::Outbox;
+use crate::outbox::Outgoing;
+use crate::records;
+use crate::records::Records;
 pub(crate) use effects::Effects;
 pub(crate) use effects::RECORD_PREFIX;
 pub(crate) use effects::parse_record;
@@ -34,6 +43,8 @@
     start: Instant,
     board: Arc<Board>,
     effects: Arc<Effects>,
+    records: Arc<Records>,
+    outbox: Outbox,
     monitors: BTreeMap<GroupName, Monitor>,
     itself: ActorRef<Self>,
 }
@@ -44,6 +55,8 @@
     pub(crate) me: Proposer,
     pub(crate) board: Arc<Board>,
     pub(crate) effects: Arc<Effects>,
+    pub(crate) records: Arc<Records>,
+    pub(crate) outbox: Outbox,
 }
 
 impl Actor for Groups {
@@ -56,6 +69,8 @@
             start: Instant::now(),
             board: args.board,
             effects: args.effects,
+            records: args.records,
+            outbox: args.outbox,
             monitors: BTreeMap::new(),
             itself: actor_ref,
         })
@@ -72,16 +87,23 @@
         let now = self.now();
         let view = self.board.view();
         let bounds = Bounds::from(&view.bundle.limits);
+        let configured: BTreeSet<&GroupName> = view.bundle.groups.iter().map(|g| &g.name).collect();
+        self.monitors.retain(|name, _| configured.contains(name));
         for group in &view.bundle.groups {
-            let monitor = self
-                .monitors
-                .entry(group.name.clone())
-                .or_insert_with(|| Monitor::new(self.me.clone(), group.clone(), bounds, now));
-            monitor.configure(group.clone(), bounds);
-            monitor.assign(Duty::of(&self.me.vm, &group.name, &view.vms), now);
+            let name = &group.name;
+            let duty = Duty::of(&self.me.vm, name, &view.vms);
+            if let Some(monitor) = self.monitors.get_mut(name) {
+                monitor.configure(group.clone(), bounds);
+                monitor.assign(duty, now);
+                continue;
+            }
+            let mut monitor = Monitor::new(self.me.clone(), group.clone(), bounds, now);
+            monitor.assign(duty, now);
+            self.monitors.insert(name.clone(), monitor);
+            if let Some(recorded) = self.records.get(name) {
+                self.handle_event(name, Event::Record(Some(recorded)));
+            }
         }
-        let configured = |name: &GroupName| view.bundle.groups.iter().any(|g| g.name == *name);
-        self.monitors.retain(|name, _| configured(name));
     }
 
     fn handle_event(&mut self, group: &GroupName, event: Event) {
@@ -96,10 +118,21 @@
     }
 
     fn carry_out(&self, group: &GroupName, command: Command) {
-        if let Command::Announce(recorded) = &command {
-            self.announce(group, recorded);
-            return;
+        match command {
+            Command::Announce(recorded) => self.announce(group, &recorded),
+            Command::Ask(vm, term) => {
+                let ask = AskOpinion {
+                    group: group.as_str().to_owned(),
+                    term: term.0,
+                };
+                self.outbox.send(Outgoing::To(vm, Body::Ask(ask)));
+            }
+            command => self.start(group, command),
         }
+    }
+
+    /// Carries out a decision in the background and reports what came of it.
+    fn start(&self, group: &GroupName, command: Command) {
         let Some(monitor) = self.monitors.get(group) else {
             return;
         };
@@ -121,8 +154,19 @@
         let state = recorded.record.state();
         let term = state.term;
         let primary = state.primary.as_ref().map_or("", |name| name.as_str());
-        if self.board.post_group(group, state.clone()) {
-            tracing::info!(event = "group_changed", group = %group, term = %term, primary);
+        tracing::info!(event = "group_changed", group = %group, term = %term, primary);
+        if !self.board.post_group(group, state.clone()) {
+            tracing::debug!(event = "group_already_posted", group = %group);
+        }
+        self.pass_on(group, recorded);
+    }
+
+    /// Keeps a record and tells other stewards, unless it was known.
+    fn pass_on(&self, group: &GroupName, recorded: &Recorded) {
+        if self.records.put(group, recorded)
+            && let Some(news) = records::news(group, recorded)
+        {
+            self.outbox.send(Outgoing::Group(news));
         }
     }
 }
@@ -142,6 +186,74 @@
     }
 }
 
+/// Record that another steward or the platform's list tells of.
+#[derive(Debug)]
+pub(crate) struct Heard {
+    pub(crate) group: GroupName,
+    pub(crate) recorded: Recorded,
+}
+
+impl Message<Heard> for Groups {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Heard, _ctx: &mut Context<Self, ()>) {
+        if self.monitors.contains_key(&msg.group) {
+            self.handle_event(&msg.group, Event::Record(Some(msg.recorded)));
+        } else {
+            self.pass_on(&msg.group, &msg.recorded);
+        }
+    }
+}
+
+/// Question of another monitor whether the primary of a term is silent.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    pub(crate) vm: VmName,
+    pub(crate) group: GroupName,
+    pub(crate) term: Term,
+}
+
+impl Message<Asked> for Groups {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Asked, _ctx: &mut Context<Self, ()>) {
+        let opinion = self.monitors.get(&msg.group);
+        let opinion = opinion.and_then(|monitor| monitor.opinion(self.now()));
+        let Some((term, silent)) = opinion.filter(|(term, _)| *term == msg.term) else {
+            return;
+        };
+        let answer = mustardbay_wire::Opinion {
+            group: msg.group.as_str().to_owned(),
+            term: term.0,
+            silent,
+        };
+        self.outbox
+            .send(Outgoing::To(msg.vm, Body::Opinion(answer)));
+    }
+}
+
+/// Answer of another monitor.
+#[derive(Debug)]
+pub(crate) struct Opinion {
+    pub(crate) vm: VmName,
+    pub(crate) group: GroupName,
+    pub(crate) term: Term,
+    pub(crate) silent: bool,
+}
+
+impl Message<Opinion> for Groups {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Opinion, _ctx: &mut Context<Self, ()>) {
+        let event = Event::Opinion {
+            vm: msg.vm,
+            term: msg.term,
+            silent: msg.silent,
+        };
+        self.handle_event(&msg.group, event);
+    }
+}
+
 /// Passage of time.
 #[derive(Debug)]
 pub(crate) struct Tick;
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -2,14 +2,19 @@
 //! local entry and pool a view of the fleet and tokens of the accounts' rates.
 
 mod board;
+mod bundles;
 mod cli;
 mod control;
 mod description;
 mod directory;
 mod groups;
 mod local;
+mod outbox;
+mod parts;
+mod peers;
 mod rate_desk;
 mod rates;
+mod records;
 mod settings;
 mod start;
 
@@ -20,3 +25,4 @@
 pub use start::Running;
 pub use start::StartError;
 pub use start::start;
+pub use start::start_with;
--- a/crates/steward/src/rate_desk.rs
+++ b/crates/steward/src/rate_desk.rs
@@ -11,10 +11,13 @@
 use mustardbay_policy::names::VmName;
 use mustardbay_wire::DrawTokens;
 use mustardbay_wire::GrantTokens;
+use mustardbay_wire::peer_message::Body;
 use tokio::sync::mpsc;
 
 use crate::board::Board;
 use crate::description::Description;
+use crate::outbox::Outbox;
+use crate::outbox::Outgoing;
 use crate::rates::LinkId;
 use crate::rates::Rates;
 use crate::rates::RatesOutput;
@@ -24,14 +27,16 @@
 pub(crate) struct RateDesk {
     rates: Rates,
     board: Arc<Board>,
+    outbox: Outbox,
     links: BTreeMap<LinkId, mpsc::Sender<GrantTokens>>,
 }
 
 impl RateDesk {
-    pub(crate) fn new(rates: Rates, board: Arc<Board>) -> Self {
+    pub(crate) fn new(rates: Rates, board: Arc<Board>, outbox: Outbox) -> Self {
         Self {
             rates,
             board,
+            outbox,
             links: BTreeMap::new(),
         }
     }
@@ -40,8 +45,8 @@
         for output in outputs {
             match output {
                 RatesOutput::Grant(link, grant) => self.grant(link, grant),
-                RatesOutput::Peer(vm, _body) => {
-                    tracing::debug!(event = "rates_message_dropped", vm = %vm);
+                RatesOutput::Peer(vm, body) => {
+                    self.outbox.send(Outgoing::To(vm, Body::Rates(body)));
                 }
             }
         }
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
+use mustardbay_policy::bundle::SignerId;
 use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::VmName;
 use mustardbay_process::settings::BadValue;
@@ -11,9 +12,6 @@
 use mustardbay_process::settings::override_from_env;
 use serde::Deserialize;
 
-/// Length of an ed25519 public key in hexadecimal digits.
-const SIGNER_HEX_DIGITS: usize = 64;
-
 /// Settings of one steward.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -92,13 +90,25 @@
             }
         }
         for signer in &self.signers {
-            check_signer(signer)?;
+            if signer.parse::<SignerId>().is_err() {
+                return Err(BadValue::new(
+                    "signers",
+                    signer,
+                    "an ed25519 public key in hexadecimal",
+                ));
+            }
         }
         Ok(())
     }
 }
 
 impl StewardSettings {
+    /// Returns the keys that may sign bundles; the settings are checked.
+    pub(crate) fn signer_ids(&self) -> Vec<SignerId> {
+        let ids = self.signers.iter().map(|signer| signer.parse());
+        ids.filter_map(Result::ok).collect()
+    }
+
     fn apply_environment(&mut self) {
         override_from_env(&mut self.local, "MUSTARDBAY_LOCAL");
         override_from_env(&mut self.peers, "MUSTARDBAY_PEERS");
@@ -118,12 +128,3 @@
         Err(_) => Err(BadValue::new(key, address, "ip:port")),
     }
 }
-
-fn check_signer(signer: &str) -> Result<(), BadValue> {
-    let plain = signer.len() == SIGNER_HEX_DIGITS && signer.chars().all(|c| c.is_ascii_hexdigit());
-    if plain {
-        return Ok(());
-    }
-    let allowed = format!("{SIGNER_HEX_DIGITS} hexadecimal digits");
-    Err(BadValue::new("signers", signer, allowed))
-}
--- a/crates/steward/src/start.rs
+++ b/crates/steward/src/start.rs
@@ -6,44 +6,38 @@
 
 use kameo::Actor;
 use kameo::actor::ActorRef;
-use kameo::actor::Spawn;
 use kameo::message::Message;
 use mustardbay_platform::Gateway;
 use mustardbay_platform::Platform;
 use mustardbay_platform::PlatformError;
-use mustardbay_policy::group::Proposer;
-use mustardbay_policy::view::VmState;
 use mustardbay_process::admin::Admin;
-use mustardbay_process::dialer::Dialer;
-use mustardbay_process::incarnation::incarnation;
 use mustardbay_process::lifecycle::Lifecycle;
 use mustardbay_process::metrics::Metrics;
 use mustardbay_process::metrics::MetricsError;
 use mustardbay_process::timer::Timer;
-use serde_json::Value;
-use serde_json::json;
 use thiserror::Error;
 
 use crate::board::Board;
-use crate::control::Control;
-use crate::directory::Directory;
-use crate::directory::Refresh;
+use crate::bundles;
+use crate::directory;
 use crate::groups;
-use crate::groups::Effects;
-use crate::groups::Groups;
-use crate::groups::GroupsArgs;
 use crate::local::Local;
+use crate::parts::Parts;
+use crate::peers;
+use crate::peers::accept;
 use crate::rate_desk;
-use crate::rate_desk::RateDesk;
-use crate::rates::Rates;
 use crate::settings::StewardSettings;
 
 /// Time between two ticks of the group monitors.
 const GROUP_TICK: Duration = Duration::from_millis(50);
 /// Time between two ticks of the rate shares.
 const RATE_TICK: Duration = Duration::from_millis(100);
-/// Time between two reads of the platform.
-const REFRESH_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two ticks of the peers.
+const PEER_TICK: Duration = Duration::from_millis(100);
+/// Time between two ticks of the bundles.
+const BUNDLE_TICK: Duration = Duration::from_millis(250);
+/// Time between two ticks of the directory.
+const DIRECTORY_TICK: Duration = Duration::from_millis(100);
 
 /// Failure to start.
 #[derive(Debug, Error)]
@@ -71,10 +65,9 @@
 pub struct Running {
     life: Lifecycle,
     timer: Timer,
-    board: Arc<Board>,
     local: SocketAddr,
     admin: SocketAddr,
-    desk: ActorRef<RateDesk>,
+    parts: Parts,
 }
 
 impl Running {
@@ -87,7 +80,7 @@
     /// Returns the view that is posted.
     #[must_use]
     pub fn board(&self) -> &Arc<Board> {
-        &self.board
+        &self.parts.board
     }
 
     /// Returns the address where local programs connect.
@@ -105,9 +98,7 @@
     /// Waits for the drain, hands everything over and stops.
     pub async fn until_drained(self) {
         self.life.drained_from_now().await;
-        if self.desk.ask(rate_desk::HandBack).await.is_err() {
-            tracing::debug!(event = "rate_desk_gone");
-        }
+        self.parts.leave().await;
         self.timer.stop();
         self.life.stop();
         tracing::info!(event = "drained");
@@ -124,66 +115,44 @@
     start_with(settings, Arc::new(gateway)).await
 }
 
-async fn start_with(
+/// Starts a steward against a given platform.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or a client cannot be set up.
+pub async fn start_with(
     settings: StewardSettings,
     platform: Arc<dyn Platform>,
 ) -> Result<Running, StartError> {
     let life = Lifecycle::new();
     let timer = Timer::new();
     let metrics = Metrics::new()?;
-    let board = Arc::new(Board::default());
-    let dialer = Dialer::new(settings.source);
-    let incarnation = incarnation();
-
-    let control = Control::new(settings.login.clone(), dialer);
-    let groups = Groups::spawn(GroupsArgs {
-        me: Proposer {
-            vm: settings.vm.clone(),
-            incarnation,
-        },
-        board: Arc::clone(&board),
-        effects: Arc::new(Effects::new(Arc::clone(&platform), control)),
-    });
-    let itself = VmState {
-        domain: settings.domain.clone(),
-        incarnation,
-        pool: settings.pool.clone(),
-        peer: settings
-            .advertise
-            .clone()
-            .unwrap_or_else(|| settings.peers.clone()),
-        leaving: false,
-    };
-    let directory = Directory::spawn(Directory::new(
-        Arc::clone(&platform),
-        Arc::clone(&board),
-        groups.clone(),
-        (settings.vm.clone(), itself),
-    ));
-    let desk = RateDesk::spawn(RateDesk::new(Rates::default(), Arc::clone(&board)));
-
-    let endpoint = Local::new(Arc::clone(&board), desk.clone());
-    let local = bound(
-        "local",
-        &settings.local,
-        endpoint.serve(&settings.local).await,
-    )?;
-    let dump = dumper(&settings, Arc::clone(&board), platform, &groups, &desk);
-    let admin = Admin::new(life.clone(), metrics, dump);
+    let parts = Parts::spawn(&settings, &platform);
+    let peers = &parts.peers;
+    let peer_address = accept(&settings.peers, peers.clone()).await;
+    let peer_address = bound("peers", &settings.peers, peer_address)?;
+    let endpoint = Local::new(Arc::clone(&parts.board), parts.desk.clone());
+    let local = endpoint.serve(&settings.local).await;
+    let local = bound("local", &settings.local, local)?;
+    let admin = Admin::new(life.clone(), metrics, parts.dumper(&settings, platform));
     let admin = bound("admin", &settings.admin, admin.serve(&settings.admin).await)?;
 
-    drive(&timer, GROUP_TICK, groups, || groups::Tick);
-    drive(&timer, RATE_TICK, desk.clone(), || rate_desk::Tick);
-    drive(&timer, REFRESH_PERIOD, directory, || Refresh);
+    drive(&timer, GROUP_TICK, parts.groups.clone(), || groups::Tick);
+    drive(&timer, RATE_TICK, parts.desk.clone(), || rate_desk::Tick);
+    drive(&timer, PEER_TICK, peers.clone(), || peers::Tick);
+    drive(&timer, BUNDLE_TICK, parts.bundles.clone(), || bundles::Tick);
+    drive(&timer, DIRECTORY_TICK, parts.directory.clone(), || {
+        directory::Tick
+    });
     life.mark_ready();
-    tracing::info!(event = "started", vm = %settings.vm, local = %local, admin = %admin);
+    let vm = &settings.vm;
+    tracing::info!(event = "started", %vm, %local, peers = %peer_address, %admin);
     Ok(Running {
         life,
         timer,
-        board,
         local,
         admin,
-        desk,
+        parts,
     })
 }
 
@@ -218,35 +187,3 @@
         }
     });
 }
-
-type DumpFuture = std::pin::Pin<Box<dyn Future<Output = Value> + Send>>;
-
-fn dumper(
-    settings: &StewardSettings,
-    board: Arc<Board>,
-    platform: Arc<dyn Platform>,
-    groups: &ActorRef<Groups>,
-    desk: &ActorRef<RateDesk>,
-) -> impl Fn() -> DumpFuture + Send + Sync + 'static {
-    let vm = settings.vm.clone();
-    let domain = settings.domain.clone();
-    let (groups, desk) = (groups.clone(), desk.clone());
-    move || {
-        let (vm, domain) = (vm.clone(), domain.clone());
-        let (groups, desk) = (groups.clone(), desk.clone());
-        let (view, calls) = (board.view(), platform.calls().by_name());
-        Box::pin(async move {
-            json!({
-                "program": "steward",
-                "vm": vm,
-                "domain": domain,
-                "bundle_version": view.bundle.version,
-                "vms": view.vms,
-                "groups": view.groups,
-                "monitors": groups.ask(groups::Dump).await.unwrap_or_default().0,
-                "rates": desk.ask(rate_desk::Dump).await.unwrap_or_default().0,
-                "platform_calls": calls,
-            })
-        })
-    }
-}
