--- a/crates/lab/src/upstream/admin.rs
+++ b/crates/lab/src/upstream/admin.rs
@@ -61,6 +61,8 @@
         "tail": tail,
         "connections": core.connections.load(Ordering::SeqCst),
         "running": core.running.load(Ordering::Relaxed),
+        "primary_reads": core.primary_reads.load(Ordering::Relaxed),
+        "replica_reads": core.replica_reads.load(Ordering::Relaxed),
         "running_max": core.running_max.load(Ordering::Relaxed),
     })
 }
--- a/crates/lab/src/upstream/core.rs
+++ b/crates/lab/src/upstream/core.rs
@@ -5,7 +5,9 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -13,6 +15,7 @@
 use super::Config;
 use super::cancel::Canceller;
 use super::database::Database;
+use super::state::Role;
 use super::state::State;
 use crate::gate::Gate;
 
@@ -29,6 +32,15 @@
     pub gate: Gate,
     /// Ends every task.
     pub stop: CancellationToken,
+    /// Counts a read by the part that the upstream plays.
+    pub fn count_read(&self) {
+        let reads = match self.state().role {
+            Role::Primary => &self.primary_reads,
+            Role::Replica | Role::Fenced => &self.replica_reads,
+        };
+        reads.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Wakes whoever waits for the state to change.
     pub changed: watch::Sender<()>,
     /// Open connections.
@@ -37,6 +49,10 @@
     pub running: AtomicUsize,
     /// Most statements that ever ran at once.
     pub running_max: AtomicUsize,
+    /// Reads that ran while the upstream was a primary.
+    pub primary_reads: AtomicU64,
+    /// Reads that ran while the upstream was a replica.
+    pub replica_reads: AtomicU64,
     cancels: Mutex<HashMap<i32, Arc<Canceller>>>,
     state: Mutex<State>,
 }
@@ -57,6 +73,8 @@
             connections: AtomicUsize::new(0),
             running: AtomicUsize::new(0),
             running_max: AtomicUsize::new(0),
+            primary_reads: AtomicU64::new(0),
+            replica_reads: AtomicU64::new(0),
             state,
         }
     }
--- a/crates/lab/src/upstream/session.rs
+++ b/crates/lab/src/upstream/session.rs
@@ -224,7 +224,10 @@
             })
             .await?;
         match step {
-            Step::Read(answer) => Ok(answer),
+            Step::Read(answer) => {
+                self.core.count_read();
+                Ok(answer)
+            }
             Step::Write => self.write(change).await,
         }
     }
--- a/crates/lab/tests/relay.rs
+++ b/crates/lab/tests/relay.rs
@@ -101,14 +101,11 @@
     let (relay, address) = relay().await?;
     let mut stream = open(NEAR, address).await?;
     relay.set("echo.one", &[], Mode::Freeze);
-    {
-        let mut held = Box::pin(exchange(&mut stream));
-        let early = tokio::time::timeout(SHORT, &mut held).await;
-        assert!(early.err().is_some(), "held back");
-        relay.set("echo.one", &[], Mode::Pass);
-        held.await?;
-    }
-    Ok(())
+    let mut held = Box::pin(exchange(&mut stream));
+    let early = tokio::time::timeout(SHORT, &mut held).await;
+    assert!(early.err().is_some(), "held back");
+    relay.set("echo.one", &[], Mode::Pass);
+    Ok(held.await?)
 }
 
 #[tokio::test]
