Check recorded histories for broken promises

Cause: a run is only a proof if what clients saw can be held against what must hold.

Change: pure functions over a history of JSON lines find stale reads, lost, doubled and falsely refused writes, overshoot of rate and burst over every window, service per account, wrongful refusals and the gap in writes.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,8 +1,10 @@
 //! Stand-ins for what surrounds the proxy, and tools that put load on it and measure it.
 
+pub mod check;
 pub mod error;
 pub mod gate;
 pub mod group;
+pub mod history;
 pub mod http;
 pub mod platform;
 pub mod relay;
--- a/crates/lab/src/upstream/core.rs
+++ b/crates/lab/src/upstream/core.rs
@@ -32,15 +32,6 @@
     pub gate: Gate,
     /// Ends every task.
     pub stop: CancellationToken,
-    /// Counts a read by the part that the upstream plays.
-    pub fn count_read(&self) {
-        let reads = match self.state().role {
-            Role::Primary => &self.primary_reads,
-            Role::Replica | Role::Fenced => &self.replica_reads,
-        };
-        reads.fetch_add(1, Ordering::Relaxed);
-    }
-
     /// Wakes whoever waits for the state to change.
     pub changed: watch::Sender<()>,
     /// Open connections.
@@ -89,6 +80,15 @@
         self.cancels.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts a read by the part that the upstream plays.
+    pub fn count_read(&self) {
+        let reads = match self.state().role {
+            Role::Primary => &self.primary_reads,
+            Role::Replica | Role::Fenced => &self.replica_reads,
+        };
+        reads.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Wakes whoever waits for the state to change.
     pub fn announce(&self) {
         self.changed.send_replace(());
--- /dev/null
+++ b/crates/lab/tests/traces.rs
@@ -0,0 +1,22 @@
+//! Replays recorded histories against the outcomes that they state.
+
+use std::fs::File;
+use std::io::BufReader;
+use std::path::Path;
+
+use mustardbay_lab::check::Verdict;
+use mustardbay_lab::history::History;
+
+fn replay(path: &Path) -> datatest_stable::Result<()> {
+    let history = History::read(BufReader::new(File::open(path)?))?;
+    let expected = history
+        .expect
+        .clone()
+        .ok_or("the trace states no outcome")?;
+    assert_eq!(Verdict::of(&history), expected);
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = replay, root = "tests/traces", pattern = r"\.jsonl$" },
+}
