Give operators a command line for keys, bundles, dumps and drains

Cause: bundles could be parsed and signed but not put in force. Change: `mustardbay` with key new, signer new, bundle check/diff/sign/submit/status, dump and drain. Submission reads only the stored nodes that differ, writes the chunks that are missing, children first, and swaps the head on the revision that it read.

--- /dev/null
+++ b/crates/cli/src/command_line.rs
@@ -0,0 +1,204 @@
+//! Arguments and help of every command.
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::Command;
+use clap::value_parser;
+use mustardbay_process::exit::Exit;
+
+const ABOUT: &str = "\
+Operates a mustardbay fleet: keys, configuration bundles, dumps and drains.
+
+A change of configuration goes in five steps:
+  mustardbay bundle check bundle.yaml            every fault with its line and path
+  mustardbay bundle diff old.yaml bundle.yaml    what the change does
+  mustardbay bundle sign bundle.yaml --expect 7 --signer op.key --out head.json
+  mustardbay bundle submit bundle.yaml --expect 7 --signed head.json --platform URL
+  mustardbay bundle status --platform URL        which vm has which version";
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  ran and failed: faults in a bundle, a file that cannot be read or written
+  2  wrong arguments
+  3  conflict: another version is in force than the one expected
+  4  something cannot be reached, or the outcome of a submission is unknown";
+
+/// Returns the description of the command line.
+pub(crate) fn command() -> Command {
+    Command::new("mustardbay")
+        .about("Operates a mustardbay fleet")
+        .long_about(ABOUT)
+        .after_help(EXIT_CODES)
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(key())
+        .subcommand(signer())
+        .subcommand(bundle())
+        .subcommand(dump())
+        .subcommand(drain())
+}
+
+/// Prints why the arguments were not taken, or the help that was asked for.
+pub(crate) fn explain(error: &clap::Error) -> Exit {
+    let printed = error.print();
+    if error.use_stderr() || printed.is_err() {
+        Exit::Usage
+    } else {
+        Exit::Done
+    }
+}
+
+fn key() -> Command {
+    Command::new("key")
+        .about("Keys of accounts")
+        .subcommand_required(true)
+        .subcommand(Command::new("new").about("Creates a random key and its verifier").long_about(
+            "Creates a random key and its verifier.\n\nThe key is printed once and stored nowhere: \
+             hand it to the caller, who presents it as password. The verifier goes into the \
+             account's `keys` in the bundle. Removing it there withdraws the key.",
+        ))
+}
+
+fn signer() -> Command {
+    Command::new("signer")
+        .about("Keys of operators who sign bundles")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("new")
+                .about("Creates a signing key")
+                .long_about(
+                    "Creates an ed25519 signing key.\n\nThe private key goes into the file, readable \
+                     by its owner alone; the public key is printed and goes into `signers` of every \
+                     steward's settings.",
+                )
+                .arg(path("out", "File to create for the private key").long("out").required(true)),
+        )
+}
+
+fn bundle() -> Command {
+    Command::new("bundle")
+        .about("Configuration of the fleet")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Checks a bundle whole and prints every fault with its place")
+                .arg(path("file", "Bundle in YAML").required(true)),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Prints what changes from one bundle to another")
+                .arg(path("old", "Older bundle in YAML").required(true))
+                .arg(path("new", "Newer bundle in YAML").required(true)),
+        )
+        .subcommand(sign())
+        .subcommand(submit())
+        .subcommand(bundle_status())
+}
+
+fn sign() -> Command {
+    Command::new("sign")
+        .about("Signs a bundle for the version after the expected one")
+        .arg(path("file", "Bundle in YAML").required(true))
+        .arg(expect())
+        .arg(signer_file().required(true))
+        .arg(path("out", "File for the signed head; standard output if absent").long("out"))
+}
+
+fn submit() -> Command {
+    Command::new("submit")
+        .about("Puts a bundle in force if the expected version still is")
+        .long_about(
+            "Puts a bundle in force if the expected version still is.\n\nThe chunks that the platform \
+             lacks are written first, then the head by compare-and-swap. Of operators who race, one \
+             wins; the others end with code 3 and the version in force. A lost answer is resolved by \
+             reading back.",
+        )
+        .arg(path("file", "Bundle in YAML").required(true))
+        .arg(expect())
+        .arg(signer_file().required_unless_present("signed"))
+        .arg(
+            path("signed", "Signed head of `bundle sign`, in place of a signer key")
+                .long("signed")
+                .conflicts_with("signer"),
+        )
+        .arg(platform())
+}
+
+fn bundle_status() -> Command {
+    Command::new("status")
+        .about("Shows which vm has which version and which are not heard from")
+        .long_about(
+            "Shows which vm has which version and which are not heard from.\n\nAsks the steward of \
+             every vm of the platform's list that names an `admin` address, and those given by \
+             --admin.",
+        )
+        .arg(platform())
+        .arg(
+            Arg::new("admin")
+                .long("admin")
+                .value_name("URL")
+                .action(ArgAction::Append)
+                .help("Admin address of a steward to ask; may be repeated"),
+        )
+        .arg(json())
+}
+
+fn dump() -> Command {
+    Command::new("dump")
+        .about("Prints the state of any process, secrets masked")
+        .arg(admin_url())
+        .arg(json())
+}
+
+fn drain() -> Command {
+    Command::new("drain")
+        .about("Lets a process finish what runs, hand over and exit")
+        .arg(admin_url())
+}
+
+fn admin_url() -> Arg {
+    Arg::new("url")
+        .value_name("ADMIN_URL")
+        .required(true)
+        .help("Admin address of the process, such as http://127.0.0.1:9101")
+}
+
+fn json() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Prints JSON")
+}
+
+fn expect() -> Arg {
+    Arg::new("expect")
+        .long("expect")
+        .value_name("VERSION")
+        .value_parser(value_parser!(u64))
+        .required(true)
+        .help("Version that is in force now; 0 if there is none yet")
+}
+
+fn signer_file() -> Arg {
+    path("signer", "File with the private key of `signer new`").long("signer")
+}
+
+fn platform() -> Arg {
+    Arg::new("platform")
+        .long("platform")
+        .value_name("URL")
+        .env("MUSTARDBAY_PLATFORM")
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .required(true)
+        .help("Address of the platform's key-value service; several are tried in turn")
+}
+
+fn path(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name("FILE")
+        .value_parser(value_parser!(std::path::PathBuf))
+        .help(help)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,11 @@
-//! Placeholder.
+//! Command line of the operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    mustardbay::run(std::env::args_os()).await.into()
+}
--- /dev/null
+++ b/crates/cli/src/reports.rs
@@ -0,0 +1,72 @@
+//! What commands print.
+
+use mustardbay_policy::bundle::Key;
+use mustardbay_policy::bundle::KeyVerifier;
+use mustardbay_policy::bundle::SignerId;
+use serde::Serialize;
+
+use crate::error::CliError;
+
+/// Text of one command's result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report(String);
+
+impl Report {
+    /// Shows a new key, the only place where its text appears, and its verifier.
+    #[must_use]
+    pub fn key(key: &Key, verifier: &KeyVerifier) -> Self {
+        Self(format!(
+            "key, shown only now:\n{}\n\nentry for the account's keys in the bundle:\n\
+             - id: {}\n  verifier: \"{}\"",
+            key.reveal(),
+            verifier.id,
+            verifier.verifier,
+        ))
+    }
+
+    /// Shows the public key of a new signer.
+    #[must_use]
+    pub fn signer(id: &SignerId) -> Self {
+        Self(format!("entry for signers in every steward.yaml:\n- {id}"))
+    }
+
+    /// Shows a value as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value cannot be serialised.
+    pub fn json(value: &impl Serialize) -> Result<Self, CliError> {
+        match serde_json::to_string_pretty(value) {
+            Ok(text) => Ok(Self(text)),
+            Err(e) => Err(CliError::Render(e.to_string())),
+        }
+    }
+
+    /// Shows a value in YAML, which reads well.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value cannot be serialised.
+    pub fn readable(value: &impl Serialize) -> Result<Self, CliError> {
+        match serde_saphyr::to_string(value) {
+            Ok(text) => Ok(Self(text)),
+            Err(e) => Err(CliError::Render(e.to_string())),
+        }
+    }
+
+    /// Shows plain text.
+    pub fn text(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Prints the text on standard output.
+    pub(crate) fn print(&self) {
+        println!("{}", self.0.trim_end());
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/submission.rs
@@ -0,0 +1,235 @@
+//! Submissions: one winner of a race, lost answers, outages and the chunks that are written.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use mustardbay::CHUNK_PREFIX;
+use mustardbay::CliError;
+use mustardbay::HEAD_KEY;
+use mustardbay::Submission;
+use mustardbay_platform::CallCounts;
+use mustardbay_platform::Entry;
+use mustardbay_platform::Fake;
+use mustardbay_platform::Fault;
+use mustardbay_platform::LeaseId;
+use mustardbay_platform::Listing;
+use mustardbay_platform::Platform;
+use mustardbay_platform::PlatformError;
+use mustardbay_platform::Revision;
+use mustardbay_platform::Swap;
+use mustardbay_platform::WatchEvent;
+use mustardbay_policy::bundle::Assembly;
+use mustardbay_policy::bundle::Bundle;
+use mustardbay_policy::bundle::BundleVersion;
+use mustardbay_policy::bundle::Head;
+use mustardbay_policy::bundle::Signer;
+use mustardbay_policy::bundle::Tree;
+use mustardbay_process::exit::Exit;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::mpsc;
+
+const EXAMPLE: &str = include_str!("../../../examples/bundle.yaml");
+
+fn signer() -> Signer {
+    Signer::generate(&mut StdRng::seed_from_u64(7))
+}
+
+fn submission(rate: f64, expected: u64, writer: u64) -> Submission {
+    let mut bundle = Bundle::parse(EXAMPLE).expect("example is valid");
+    bundle.accounts[0].rate = rate;
+    let tree = Tree::build(&bundle);
+    let expected = BundleVersion(expected);
+    Submission {
+        head: Head::sign(expected.next(), tree.root, &signer()),
+        tree,
+        expected,
+        writer,
+    }
+}
+
+async fn in_force(platform: &Fake) -> Head {
+    let entry = platform.get(HEAD_KEY).await.expect("platform answers");
+    serde_json::from_slice(&entry.expect("head exists").value).expect("head is valid")
+}
+
+async fn stored(platform: &Fake) -> Bundle {
+    let head = in_force(platform).await;
+    let mut assembly = Assembly::default();
+    while let Some(hash) = assembly.missing(&head.root).first() {
+        let key = format!("{CHUNK_PREFIX}{hash}");
+        let entry = platform.get(&key).await.expect("platform answers");
+        let bytes = entry.expect("chunk exists").value;
+        assembly.add(bytes.to_vec()).expect("chunk is valid");
+    }
+    assembly
+        .bundle(&head.root, head.version)
+        .expect("bundle is whole")
+}
+
+async fn first_rate(platform: &Fake) -> f64 {
+    stored(platform).await.accounts[0].rate
+}
+
+#[tokio::test]
+async fn submit_first() {
+    let platform = Fake::new();
+    let done = submission(5.0, 0, 1)
+        .run(&platform)
+        .await
+        .expect("submitted");
+    assert_eq!(done.version, BundleVersion(1));
+    assert!(first_rate(&platform).await.total_cmp(&5.0).is_eq());
+    assert_eq!(in_force(&platform).await.verify(&[signer().id()]), Ok(()));
+}
+
+#[tokio::test]
+async fn submit_writes_changed_chunks_only() {
+    let platform = Fake::new();
+    let first = submission(5.0, 0, 1)
+        .run(&platform)
+        .await
+        .expect("submitted");
+    let second = submission(6.0, 1, 2)
+        .run(&platform)
+        .await
+        .expect("submitted");
+    assert!(second.chunks < first.chunks, "{second:?} after {first:?}");
+    assert!(first_rate(&platform).await.total_cmp(&6.0).is_eq());
+}
+
+#[tokio::test]
+async fn submit_stale_version() {
+    let platform = Fake::new();
+    submission(5.0, 0, 1)
+        .run(&platform)
+        .await
+        .expect("submitted");
+    let refused = submission(6.0, 0, 2)
+        .run(&platform)
+        .await
+        .expect_err("stale");
+    assert_eq!(refused.exit(), Exit::Conflict);
+    assert!(refused.to_string().contains("version 1 is in force, not 0"));
+}
+
+#[tokio::test]
+async fn submit_race() {
+    let platform = Fake::new();
+    submission(5.0, 0, 1)
+        .run(&platform)
+        .await
+        .expect("submitted");
+    let racers = (2..8).map(|writer| submission(10.0, 1, writer).run(&platform));
+    let outcomes = futures::future::join_all(racers).await;
+    let (won, lost): (Vec<_>, Vec<_>) = outcomes.into_iter().partition(Result::is_ok);
+    assert_eq!(won.len(), 1);
+    for outcome in lost {
+        let error = outcome.expect_err("lost");
+        let CliError::Conflict { expected, in_force } = error else {
+            panic!("{error}");
+        };
+        assert_eq!((expected, in_force), (BundleVersion(1), BundleVersion(2)));
+    }
+}
+
+#[tokio::test]
+async fn submit_answer_lost() {
+    let platform = LosesHeadAnswer::default();
+    let done = submission(5.0, 0, 1)
+        .run(&platform)
+        .await
+        .expect("submitted");
+    assert_eq!(done.version, BundleVersion(1));
+    assert_eq!(in_force(&platform.0).await.version, BundleVersion(1));
+}
+
+#[tokio::test]
+async fn submit_answer_lost_then_superseded() {
+    let platform = LosesHeadAnswer::default();
+    platform.1.store(true, Ordering::Relaxed);
+    let done = submission(5.0, 0, 1)
+        .run(&platform)
+        .await
+        .expect("submitted");
+    assert_eq!(done.version, BundleVersion(1));
+    assert_eq!(in_force(&platform.0).await.version, BundleVersion(2));
+}
+
+#[tokio::test]
+async fn submit_platform_down() {
+    let platform = Fake::new();
+    platform.set_fault(Fault::Down);
+    let refused = submission(5.0, 0, 1)
+        .run(&platform)
+        .await
+        .expect_err("down");
+    assert_eq!(refused.exit(), Exit::Unreachable);
+    assert!(refused.to_string().contains("nothing was put in force"));
+}
+
+/// Platform that loses the answer to the first swap of the head, after it took effect; with the
+/// flag set, another operator submits the next version before the swap is repeated.
+#[derive(Debug, Default)]
+struct LosesHeadAnswer(Fake, AtomicBool, AtomicBool);
+
+#[async_trait]
+impl Platform for LosesHeadAnswer {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
+        self.0.get(key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, PlatformError> {
+        self.0.list(prefix).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Result<Revision, PlatformError> {
+        self.0.put(key, value, lease).await
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: Revision,
+        value: Bytes,
+    ) -> Result<Swap, PlatformError> {
+        let answer = self.0.swap(key, expected, value).await?;
+        if self.2.swap(true, Ordering::Relaxed) {
+            return Ok(answer);
+        }
+        if self.1.load(Ordering::Relaxed) {
+            let next = Box::pin(submission(7.0, 1, 9).run(&self.0)).await;
+            assert!(next.is_ok(), "{next:?}");
+        }
+        let lost = "answer lost".to_owned();
+        Err(PlatformError::Unanswered(lost))
+    }
+
+    async fn lease_grant(&self, ttl: Duration) -> Result<LeaseId, PlatformError> {
+        self.0.lease_grant(ttl).await
+    }
+
+    async fn lease_keepalive(&self, lease: LeaseId) -> Result<Option<Duration>, PlatformError> {
+        self.0.lease_keepalive(lease).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+    ) -> Result<mpsc::Receiver<WatchEvent>, PlatformError> {
+        self.0.watch(prefix, from).await
+    }
+
+    fn calls(&self) -> &CallCounts {
+        self.0.calls()
+    }
+}
--- a/crates/policy/src/bundle.rs
+++ b/crates/policy/src/bundle.rs
@@ -19,6 +19,7 @@
 mod scram;
 mod signer;
 mod tree;
+mod upload;
 mod upstream;
 mod version;
 
@@ -45,6 +46,7 @@
 pub use self::signer::Signer;
 pub use self::signer::SignerId;
 pub use self::tree::Tree;
+pub use self::upload::Upload;
 pub use self::upstream::Upstream;
 pub use self::version::BundleVersion;
 
--- a/crates/policy/src/bundle/tree.rs
+++ b/crates/policy/src/bundle/tree.rs
@@ -6,6 +6,7 @@
 //! changes one leaf and the inner nodes above it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -78,7 +79,7 @@
     /// Returns the bytes of all chunks that `older` does not hold.
     #[must_use]
     pub fn bytes_beyond(&self, older: &Self) -> usize {
-        let known: std::collections::BTreeSet<_> = older.chunks.iter().map(|c| c.hash).collect();
+        let known: BTreeSet<_> = older.chunks.iter().map(|c| c.hash).collect();
         let new = self.chunks.iter().filter(|c| !known.contains(&c.hash));
         new.map(|c| c.bytes.len()).sum()
     }
