--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,10 +1,12 @@
 //! Stand-ins for what surrounds the proxy, and tools that put load on it and measure it.
 
+pub mod check;
 pub mod demo;
 pub mod error;
 pub mod fleet;
 pub mod gate;
 pub mod group;
+pub mod history;
 pub mod http;
 pub mod platform;
 pub mod relay;
