Admit batches by tokens drawn from the steward

Cause: rates were not enforced. Change: a purse for each account that spends one token a batch, checks its validity on the monotonic clock at the moment of spending, draws ahead at the measured pace, reports what was spent, and refuses at once with the steward's time when it is empty. Conclusion: a batch waits only while an answer to a draw is due.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -20,6 +20,7 @@
 use crate::groups::Groups;
 use crate::pools::PoolLink;
 use crate::pools::Pools;
+use crate::rates::Rates;
 use crate::settings::EntrySettings;
 
 /// Shared state of one entry.
@@ -35,6 +36,8 @@
     pub pools: Pools,
     /// What was seen of each group.
     pub groups: Groups,
+    /// Tokens of accounts.
+    pub rates: Rates,
     homes: Mutex<Homes>,
     budgets: Mutex<HashMap<AccountName, SharedBudget>>,
 }
@@ -54,6 +57,7 @@
     pub fn new(settings: EntrySettings, steward: StewardLink, life: Lifecycle) -> Self {
         let pools = Pools::new(Dialer::new(settings.source));
         Self {
+            rates: Rates::new(steward.clone()),
             settings,
             steward,
             life,
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -20,6 +20,7 @@
         "groups": view.as_ref().map(|v| &v.groups),
         "vms": view.as_ref().map(|v| &v.vms),
         "links": links(ctx),
+        "tokens": tokens(ctx),
         "positions": positions(ctx),
     })
 }
@@ -38,6 +39,14 @@
         .collect()
 }
 
+fn tokens(ctx: &Context) -> Map<String, Value> {
+    let accounts = ctx.rates.all();
+    accounts
+        .iter()
+        .map(|(name, rate)| (name.to_string(), rate.held().into()))
+        .collect()
+}
+
 fn positions(ctx: &Context) -> Value {
     let now = Instant::now();
     let mut groups = Map::new();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod groups;
 mod listener;
 mod pools;
+mod rates;
 mod session;
 mod settings;
 
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mustardbay_process::timer::Timer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
@@ -15,6 +16,7 @@
 /// Accepts connections until the process has drained.
 pub(crate) async fn serve(listener: TcpListener, ctx: Arc<Context>) {
     follow_views(&ctx);
+    report_spending(&ctx);
     loop {
         let accepted = tokio::select! {
             () = ctx.life.drained_from_now() => break,
@@ -49,6 +51,12 @@
     });
 }
 
+/// Reports spent tokens in the background.
+fn report_spending(ctx: &Arc<Context>) {
+    let ctx = Arc::clone(ctx);
+    tokio::spawn(async move { ctx.rates.keep_reporting(&Timer::new()).await });
+}
+
 fn accept(stream: TcpStream, ctx: &Arc<Context>) {
     if let Err(e) = stream.set_nodelay(true) {
         tracing::debug!(event = "nodelay_failed", error = %e);
--- a/crates/entry/src/pools/link.rs
+++ b/crates/entry/src/pools/link.rs
@@ -33,6 +33,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 /// Time for a connection to a pool to open.
@@ -294,6 +295,7 @@
                 up.state.send_replace(LinkState::Up);
                 drop(up);
                 tracing::info!(event = "pool_connected", pool = address);
+                let opened = Instant::now();
                 let ended = converse(stream, &link, &mut inbox).await;
                 let Some(link) = link.upgrade() else { return };
                 link.lose(&mut inbox);
@@ -301,7 +303,9 @@
                     Ok(()) => tracing::warn!(event = "pool_lost", pool = address),
                     Err(e) => tracing::warn!(event = "pool_lost", pool = address, error = %e),
                 }
-                continue;
+                if opened.elapsed() > RECONNECT_PAUSE {
+                    continue;
+                }
             }
             Ok(Err(e)) => {
                 up.state.send_replace(LinkState::Down);
--- /dev/null
+++ b/crates/entry/src/rates.rs
@@ -0,0 +1,149 @@
+//! Admission of batches by the rates of their accounts.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use mustardbay_link::StewardLink;
+use mustardbay_policy::admission::Admission;
+use mustardbay_policy::admission::DrawOrder;
+use mustardbay_policy::admission::Purse;
+use mustardbay_policy::names::AccountName;
+use mustardbay_process::timer::Timer;
+use tokio::sync::Notify;
+use tokio::time::timeout_at;
+
+/// Period in which spent tokens of idle accounts are reported.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Tokens of one account, shared by its sessions.
+#[derive(Debug)]
+pub(crate) struct AccountRate {
+    account: AccountName,
+    steward: StewardLink,
+    purse: Mutex<Purse>,
+    answered: Notify,
+}
+
+impl AccountRate {
+    /// Admits one batch, waiting a moment for tokens that are on their way.
+    ///
+    /// # Errors
+    ///
+    /// Returns when a retry has a chance if the account is out of tokens.
+    pub async fn admit(self: &Arc<Self>) -> Result<(), Duration> {
+        if self.ask() == Admission::Admitted {
+            return Ok(());
+        }
+        loop {
+            let answered = self.answered.notified();
+            match self.ask() {
+                Admission::Admitted => return Ok(()),
+                Admission::Refused(after) => return Err(after),
+                Admission::Wait(until) => {
+                    if timeout_at(until.into(), answered).await.is_err() {
+                        tracing::debug!(event = "draw_slow", account = %self.account);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the tokens that are held.
+    pub fn held(&self) -> u64 {
+        self.lock().held()
+    }
+
+    fn ask(self: &Arc<Self>) -> Admission {
+        let (admission, order) = self.lock().admit(Instant::now());
+        if let Some(order) = order {
+            tokio::spawn(Arc::clone(self).draw(order));
+        }
+        admission
+    }
+
+    async fn draw(self: Arc<Self>, order: DrawOrder) {
+        let answer = self
+            .steward
+            .draw(self.account.as_str(), order.wanted, order.spent)
+            .await;
+        if order.wanted == 0 {
+            return;
+        }
+        let now = Instant::now();
+        match answer {
+            Some(grant) => {
+                let valid = Duration::from_millis(grant.valid_ms);
+                let retry_after = Duration::from_millis(grant.retry_after_ms);
+                self.lock().granted(grant.granted, valid, retry_after, now);
+            }
+            None => self.lock().unanswered(now),
+        }
+        self.answered.notify_waiters();
+    }
+
+    fn report(self: &Arc<Self>) {
+        let order = self.lock().report(Instant::now());
+        if let Some(order) = order {
+            tokio::spawn(Arc::clone(self).draw(order));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Purse> {
+        self.purse.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Tokens of every account that a session has used.
+#[derive(Debug)]
+pub(crate) struct Rates {
+    steward: StewardLink,
+    accounts: Mutex<HashMap<AccountName, Arc<AccountRate>>>,
+}
+
+impl Rates {
+    /// Creates an empty set that draws from `steward`.
+    pub fn new(steward: StewardLink) -> Self {
+        Self {
+            steward,
+            accounts: Mutex::default(),
+        }
+    }
+
+    /// Returns the tokens of an account.
+    pub fn account(&self, account: &AccountName) -> Arc<AccountRate> {
+        let mut accounts = self.accounts.lock().unwrap_or_else(PoisonError::into_inner);
+        let rate = accounts.entry(account.clone()).or_insert_with(|| {
+            Arc::new(AccountRate {
+                account: account.clone(),
+                steward: self.steward.clone(),
+                purse: Mutex::default(),
+                answered: Notify::new(),
+            })
+        });
+        Arc::clone(rate)
+    }
+
+    /// Returns every account with its tokens.
+    pub fn all(&self) -> Vec<(AccountName, Arc<AccountRate>)> {
+        let accounts = self.accounts.lock().unwrap_or_else(PoisonError::into_inner);
+        accounts
+            .iter()
+            .map(|(name, rate)| (name.clone(), Arc::clone(rate)))
+            .collect()
+    }
+
+    /// Reports spent tokens of accounts that draw no more, for as long as the timer runs.
+    pub async fn keep_reporting(&self, timer: &Timer) {
+        let mut ticks = timer.every(REPORT_PERIOD);
+        while ticks.recv().await.is_some() {
+            for (_, rate) in self.all() {
+                rate.report();
+            }
+        }
+    }
+}
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -46,6 +46,7 @@
 use crate::groups::SharedSight;
 use crate::pools::Answer;
 use crate::pools::AnswerSender;
+use crate::rates::AccountRate;
 use crate::session::batch::Batch;
 use crate::session::login::Grant;
 use crate::session::login::Login;
@@ -100,6 +101,7 @@
     floor: Floor,
     round: Option<Round>,
     budget: SharedBudget,
+    rate: Option<Arc<AccountRate>>,
     reported: Option<SessionToken>,
     statements: Statements,
     transaction: Transaction,
@@ -146,6 +148,7 @@
         let (answers_in, answers) = mpsc::unbounded_channel();
         let account = started.login.identity.as_ref().map(|i| i.account.clone());
         let mut session = Self {
+            rate: account.as_ref().map(|a| ctx.rates.account(a)),
             budget: ctx.budget(&account.unwrap_or_else(|| AccountName::from(""))),
             sight: ctx.groups.sight(&group),
             ctx,
--- a/crates/entry/src/session/execute.rs
+++ b/crates/entry/src/session/execute.rs
@@ -139,6 +139,9 @@
             }
             Answerer::Upstream => {}
         }
+        if let Err(refused) = self.admit().await {
+            return self.end_unadmitted(&batch, &refused).await;
+        }
         let outcome = match self.transaction {
             Transaction::Held(_) => self.run_held(&mut batch).await?,
             _ => self.run_idle(&mut batch).await?,
@@ -180,6 +183,31 @@
         self.finish_answer().await
     }
 
+    /// Spends a token of the account for one batch; open routes have no rate.
+    async fn admit(&self) -> Result<(), Refusal> {
+        let Some(rate) = &self.rate else {
+            return Ok(());
+        };
+        rate.admit().await.map_err(|after| {
+            let message = "account has spent its rate and burst";
+            Refusal::not_run(Reason::RateExceeded, message, Some(after))
+        })
+    }
+
+    /// Ends a batch that was not admitted; a rollback needs no upstream, so it is done anyway.
+    async fn end_unadmitted(&mut self, batch: &Batch, refused: &Refusal) -> Result<(), End> {
+        let rolls_back = |c: &StatementClass| *c == StatementClass::Rollback;
+        let only = !batch.classes().is_empty() && batch.classes().iter().all(rolls_back);
+        match &self.transaction {
+            Transaction::Held(held) if only => {
+                held.link.release(self.id);
+                self.transaction = Transaction::Idle;
+                self.answer_rollback(batch).await
+            }
+            _ => self.end_refused(refused).await,
+        }
+    }
+
     /// Answers a batch after the transaction was given up: only its end is accepted.
     async fn execute_failed(&mut self, batch: &Batch) -> Result<(), End> {
         let ends =
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod bed;
 mod fake_pool;
 mod fake_steward;
+mod rates;
 mod routing;
 mod startup;
 mod statements;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! feed it events and carry out what it decides.
 
 pub mod account;
+pub mod admission;
 pub mod bundle;
 pub mod escrow;
 pub mod group;
--- /dev/null
+++ b/crates/policy/tests/admission.rs
@@ -0,0 +1,126 @@
+//! Tokens of one account: spending, validity, draws and refusals.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mustardbay_policy::admission::Admission;
+use mustardbay_policy::admission::DrawOrder;
+use mustardbay_policy::admission::Purse;
+
+const VALID: Duration = Duration::from_millis(500);
+const RETRY: Duration = Duration::from_millis(70);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Purse that was granted `tokens` in answer to a draw sent at `start`.
+fn purse(tokens: u64, start: Instant) -> Purse {
+    let mut purse = Purse::default();
+    purse.admit(start);
+    purse.granted(tokens, VALID, RETRY, start + ms(1));
+    purse
+}
+
+#[test]
+fn admit_first_waits_for_its_draw() {
+    let now = Instant::now();
+    let mut purse = Purse::default();
+    let (admission, order) = purse.admit(now);
+    assert!(matches!(admission, Admission::Wait(_)));
+    assert_eq!(
+        order,
+        Some(DrawOrder {
+            wanted: 1,
+            spent: 0
+        })
+    );
+    let (admission, order) = purse.admit(now + ms(1));
+    assert!(matches!(admission, Admission::Wait(_)));
+    assert_eq!(order, None);
+}
+
+#[test]
+fn admit_never_more_than_granted() {
+    let start = Instant::now();
+    let mut purse = purse(5, start);
+    let mut admitted = 0;
+    for i in 0..50 {
+        let (admission, order) = purse.admit(start + ms(2 + i));
+        admitted += usize::from(admission == Admission::Admitted);
+        if order.is_some() {
+            purse.granted(0, VALID, RETRY, start + ms(2 + i));
+        }
+    }
+    assert_eq!(admitted, 5);
+}
+
+#[test]
+fn admit_not_with_an_expired_token() {
+    let start = Instant::now();
+    let mut purse = purse(5, start);
+    assert_eq!(purse.admit(start + ms(499)).0, Admission::Admitted);
+    // Valid from when the draw was sent, not from when the grant arrived.
+    let (admission, order) = purse.admit(start + ms(500));
+    assert!(matches!(admission, Admission::Wait(_)));
+    assert_eq!(order.unwrap().spent, 5);
+}
+
+#[test]
+fn draw_ahead_before_empty() {
+    let start = Instant::now();
+    let mut purse = purse(10, start);
+    let orders: Vec<_> = (0..5).map(|i| purse.admit(start + ms(2 + i)).1).collect();
+    assert_eq!(orders.iter().flatten().count(), 1);
+    assert!(orders[4].is_some());
+}
+
+#[test]
+fn draw_follows_the_pace() {
+    let start = Instant::now();
+    let mut purse = purse(100, start);
+    let order = (1..=50).find_map(|i| purse.admit(start + ms(i)).1);
+    // One batch a millisecond needs about a hundred tokens within the horizon.
+    assert!((90..=110).contains(&order.unwrap().wanted));
+}
+
+#[test]
+fn refused_with_the_time_of_the_source() {
+    let start = Instant::now();
+    let mut purse = purse(0, start);
+    let (admission, order) = purse.admit(start + ms(11));
+    assert_eq!(admission, Admission::Refused(ms(60)));
+    assert_eq!(order, None);
+    let (admission, order) = purse.admit(start + ms(71));
+    assert!(matches!(admission, Admission::Wait(_)));
+    assert!(order.is_some());
+}
+
+#[test]
+fn refused_while_a_draw_takes_long() {
+    let start = Instant::now();
+    let mut purse = Purse::default();
+    purse.admit(start);
+    assert!(matches!(
+        purse.admit(start + ms(200)).0,
+        Admission::Refused(_)
+    ));
+    purse.unanswered(start + ms(205));
+    assert_eq!(purse.admit(start + ms(205)).0, Admission::Refused(ms(250)));
+}
+
+#[test]
+fn report_without_a_draw() {
+    let start = Instant::now();
+    let mut purse = purse(10, start);
+    purse.admit(start + ms(2));
+    let order = purse.report(start + ms(3));
+    assert_eq!(
+        order,
+        Some(DrawOrder {
+            wanted: 0,
+            spent: 1
+        })
+    );
+    assert_eq!(purse.report(start + ms(4)), None);
+}
