Run the demonstration end to end

Cause of its first failure: the stand-in cannot infer parameter types, so the client now states them.

--- a/crates/lab/src/demo/story.rs
+++ b/crates/lab/src/demo/story.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 use tokio_postgres::Client;
 use tokio_postgres::SimpleQueryMessage;
+use tokio_postgres::types::Type;
 
 use super::error::DemoError;
 use super::report::Report;
@@ -44,10 +45,11 @@
 async fn roam(fleet: &Fleet, report: &mut Report) -> Result<(), DemoError> {
     let writer = fleet.caller("vm1", "alice", "ledger").await?;
     writer
-        .batch_execute("CREATE TABLE entries (id INTEGER PRIMARY KEY, note TEXT)")
+        .batch_execute("CREATE TABLE entries (id BIGINT PRIMARY KEY, note TEXT)")
         .await?;
+    let insert = "INSERT INTO entries VALUES ($1, $2)";
     writer
-        .execute("INSERT INTO entries VALUES ($1, $2)", &[&1_i32, &"first"])
+        .query_typed(insert, &[(&1_i64, Type::INT8), (&"first", Type::TEXT)])
         .await?;
     report.add("write on vm1", "acknowledged", Verdict::Held);
     let token = show_session(&writer).await?;
