Add the fair queue before an upstream's slots

Cause: first come, first served lets one account's flood delay every other account. Change: deficit round robin over accounts by weight, in statements; a request that cannot start before its deadline at the measured service time is refused at once with an honest pause; work of open transactions goes first and keeps a slot. FIFO stays as a variant to compare with.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! Queue of an upstream: which waiting statement gets the next free slot.
+
+mod discipline;
+mod lane;
+mod service;
+mod slots;
+
+pub use discipline::Discipline;
+pub use service::ServiceTime;
+pub use slots::Class;
+pub use slots::Offer;
+pub use slots::Request;
+pub use slots::SlotQueue;
+pub use slots::Ticket;
