Serve an upstream's slots by the fair queue

Cause: slots were first come, first served, and were held during the wait for a replica. Change: requests claim a slot through policy::queue and are woken or refused by it; the slot and the connection are free again before the durable wait; bundle lookups go through tables built once a version. Setting queue: fair or fifo. Conclusion: a flood stays with its account in the pool too.

--- a/crates/policy/src/queue/service.rs
+++ b/crates/policy/src/queue/service.rs
@@ -15,7 +15,7 @@
     /// Takes a measurement in.
     pub fn record(&mut self, service: Duration) {
         self.mean = Some(match self.mean {
-            Some(mean) => mean - mean / SMOOTHING + service / SMOOTHING,
+            Some(mean) => mean.saturating_sub(mean / SMOOTHING) + service / SMOOTHING,
             None => service,
         });
     }
--- a/crates/policy/src/queue/slots.rs
+++ b/crates/policy/src/queue/slots.rs
@@ -108,14 +108,14 @@
         let wait = self.wait_of(&lane, request.weight);
         let left = request.deadline.saturating_duration_since(now);
         if wait > left || left.is_zero() {
-            return Offer::Refuse((wait - left.min(wait)).max(MIN_RETRY));
+            return Offer::Refuse(wait.saturating_sub(left).max(MIN_RETRY));
         }
         self.enqueue(lane, request.weight, waiting);
         Offer::Wait
     }
 
     /// Returns the next statement that may start, and counts it as running.
-    pub fn next(&mut self) -> Option<Ticket> {
+    pub fn start_next(&mut self) -> Option<Ticket> {
         if self.running < self.slots
             && let Some(first) = self.held.pop_front()
         {
@@ -177,7 +177,7 @@
                 break;
             }
             self.withdraw(last.ticket);
-            shed.push((last.ticket, (wait - left).max(MIN_RETRY)));
+            shed.push((last.ticket, wait.saturating_sub(left).max(MIN_RETRY)));
         }
         shed
     }
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -14,7 +14,7 @@
 use test_case::test_case;
 
 const SERVICE: Duration = Duration::from_millis(10);
-const PATIENT: Duration = Duration::from_secs(3600);
+const PATIENT: Duration = Duration::from_hours(1);
 
 struct Bench {
     queue: SlotQueue,
@@ -67,7 +67,7 @@
     /// Ends the oldest running statement and starts the next one.
     fn turn(&mut self) -> Option<Ticket> {
         self.queue.finish(SERVICE);
-        self.queue.next()
+        self.queue.start_next()
     }
 
     fn turns(&mut self, count: usize) -> Vec<Ticket> {
@@ -162,7 +162,7 @@
     assert_eq!(held.1, Offer::Start);
     bench.queue.finish(SERVICE);
     bench.queue.close_transaction();
-    assert!(bench.queue.next().is_some());
+    assert!(bench.queue.start_next().is_some());
 }
 
 /// Returns how many statements start before the first one of `b`.
@@ -206,7 +206,7 @@
                 }
                 _ => {}
             }
-            while bench.queue.next().is_some() {
+            while bench.queue.start_next().is_some() {
                 running += 1;
             }
             assert!(running <= slots);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -1,5 +1,6 @@
 //! Home of a few upstreams: holds their connections and runs the statements that entries send.
 
+mod catalog;
 mod command_line;
 mod entry_link;
 mod request;
--- a/crates/pool/src/request/serve.rs
+++ b/crates/pool/src/request/serve.rs
@@ -3,14 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mustardbay_policy::bundle::Limits;
 use mustardbay_policy::position::Position;
 use mustardbay_policy::position::Term;
+use mustardbay_policy::queue::Class;
 use mustardbay_policy::refusal::Reason;
 use mustardbay_policy::refusal::Refusal;
 use mustardbay_wire::ConfirmPosition;
 use mustardbay_wire::Mode;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
@@ -22,10 +21,13 @@
 use super::exchange::exchange;
 use super::session::Session;
 use super::session::roll_back;
+use crate::catalog::Catalog;
 use crate::server::Pool;
+use crate::upstream::Claim;
 use crate::upstream::Leased;
 use crate::upstream::SQLSTATE_TERM;
 use crate::upstream::SQLSTATE_TOO_MANY;
+use crate::upstream::Slot;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamError;
 use crate::upstream::UpstreamKey;
@@ -41,7 +43,7 @@
 struct Place {
     upstream: Arc<Upstream>,
     primary: bool,
-    limits: Limits,
+    catalog: Arc<Catalog>,
 }
 
 /// End of a request that was served.
@@ -84,28 +86,29 @@
     if batch.idempotency_key.is_some() {
         return Err(unsupported("request records"));
     }
-    let (leased, _slot) = tokio::select! {
+    let (leased, slot) = tokio::select! {
         biased;
         () = cancel.cancelled() => return Err(cancelled()),
         prepared = prepare(&place, session, batch) => prepared?,
     };
     let (leased, summary) = run(leased, batch, answer, cancel).await?;
+    drop(slot);
     if let Some(error) = &summary.rejection {
         roll_back(leased).await;
         return Err(rejected(error));
     }
+    if summary.status == b'I' {
+        leased.give_back();
+    } else {
+        session.hold(leased);
+    }
     let committed = match settle(&place, batch, &summary).await {
         Ok(committed) => committed,
         Err(refusal) => {
-            roll_back(leased).await;
+            session.end().await;
             return Err(refusal);
         }
     };
-    if summary.status == b'I' {
-        leased.give_back();
-    } else {
-        session.hold(leased);
-    }
     answer.flush().await;
     if !summary.held.is_empty() {
         answer.send_chunk(summary.held.freeze()).await;
@@ -121,17 +124,31 @@
     place: &Place,
     session: &mut Session,
     batch: &Batch,
-) -> Result<(Leased, OwnedSemaphorePermit), Refusal> {
-    let Some(slot) = place.upstream.slot(batch.deadline).await else {
-        return Err(busy("no slot before the deadline"));
-    };
+) -> Result<(Leased, Slot), Refusal> {
     if batch.mode == Mode::Continue {
+        let slot = claim(place, batch, Class::Held).await?;
         return Ok((held(session, batch)?, slot));
     }
     check_fresh(place, batch).await?;
+    let slot = claim(place, batch, Class::New).await?;
+    check_fresh(place, batch).await?;
     Ok((lease(place, batch).await?, slot))
 }
 
+async fn claim(place: &Place, batch: &Batch, class: Class) -> Result<Slot, Refusal> {
+    let claim = Claim {
+        account: batch.account.clone(),
+        weight: place.catalog.weight(&batch.account),
+        class,
+        deadline: batch.deadline,
+    };
+    let slot = place.upstream.slots.acquire(claim).await;
+    slot.map_err(|crowded| {
+        let after = Some(crowded.retry_after);
+        Refusal::not_run(Reason::Overloaded, "no slot before the deadline", after)
+    })
+}
+
 /// Finds the upstream and checks the request's term against the view's.
 fn locate(pool: &Pool, key: &UpstreamKey, term: Term) -> Result<Place, Refusal> {
     let Some(view) = pool.view() else {
@@ -143,14 +160,15 @@
     if state.term != term {
         return Err(stale(format!("term {} is in force", state.term)));
     }
-    let Some(upstream) = pool.upstream(&view, key) else {
+    let catalog = pool.catalog(&view);
+    let Some(upstream) = pool.upstream(&catalog, key) else {
         return Err(stale("upstream is not in the bundle"));
     };
     upstream.known.begin_term(term);
     Ok(Place {
         upstream,
         primary: state.primary.as_ref() == Some(&key.upstream),
-        limits: view.bundle.limits.clone(),
+        catalog,
     })
 }
 
@@ -172,7 +190,7 @@
     if batch.may_commit() {
         return Err(stale("upstream is not the primary"));
     }
-    let wait = Duration::from_millis(place.limits.behind_ms);
+    let wait = Duration::from_millis(place.catalog.bundle.limits.behind_ms);
     let until = batch.deadline.min(Instant::now() + wait);
     let fresh = match (batch.max_age, batch.floor) {
         (Some(age), _) => place.upstream.refresh(age, until).await,
@@ -251,7 +269,7 @@
     let Some(position) = summary.committed().filter(|_| batch.may_commit()) else {
         return Ok(None);
     };
-    let until = Instant::now() + Duration::from_millis(place.limits.durable_ms);
+    let until = Instant::now() + Duration::from_millis(place.catalog.bundle.limits.durable_ms);
     let confirmations = &place.upstream.confirmations;
     match confirmations.wait_received(position, until).await {
         Ok(_) => Ok(Some(position)),
@@ -299,10 +317,6 @@
     Refusal::not_run(Reason::StaleTerm, message, Some(VIEW_RETRY))
 }
 
-fn busy(message: &str) -> Refusal {
-    Refusal::not_run(Reason::Overloaded, message, Some(BUSY_RETRY))
-}
-
 fn cancelled() -> Refusal {
     Refusal::not_run(Reason::Cancelled, "cancelled before it ran", None)
 }
--- a/crates/pool/src/request/session.rs
+++ b/crates/pool/src/request/session.rs
@@ -19,17 +19,21 @@
 impl Session {
     /// Takes the connection of the open transaction, if it is on `key`.
     pub(super) fn take(&mut self, key: &UpstreamKey) -> Option<Leased> {
-        self.held.take_if(|held| held.upstream.key == *key)
+        let leased = self.held.take_if(|held| held.upstream.key == *key)?;
+        leased.upstream.slots.close_transaction();
+        Some(leased)
     }
 
     /// Holds the connection of an open transaction.
     pub(super) fn hold(&mut self, leased: Leased) {
+        leased.upstream.slots.open_transaction();
         self.held = Some(leased);
     }
 
     /// Rolls the open transaction back and gives its connection back.
     pub(crate) async fn end(&mut self) {
         if let Some(leased) = self.held.take() {
+            leased.upstream.slots.close_transaction();
             roll_back(leased).await;
         }
     }
--- a/crates/pool/src/server.rs
+++ b/crates/pool/src/server.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use arc_swap::ArcSwapOption;
 use mustardbay_link::StewardLink;
 use mustardbay_policy::names::GroupName;
 use mustardbay_policy::view::View;
@@ -17,9 +18,9 @@
 use tokio::net::TcpListener;
 use tokio_util::task::TaskTracker;
 
+use crate::catalog::Catalog;
 use crate::entry_link::serve_entry;
 use crate::settings::PoolSettings;
-use crate::upstream::Sizes;
 use crate::upstream::Target;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamKey;
@@ -37,6 +38,7 @@
     settings: PoolSettings,
     link: StewardLink,
     life: Lifecycle,
+    catalog: ArcSwapOption<Catalog>,
     upstreams: Mutex<Upstreams>,
     links: TaskTracker,
 }
@@ -49,6 +51,7 @@
             settings,
             link,
             life,
+            catalog: ArcSwapOption::empty(),
             upstreams: Mutex::default(),
             links: TaskTracker::new(),
         };
@@ -89,10 +92,21 @@
         self.shared.link.view()
     }
 
+    /// Returns the lookup tables of the view's bundle.
+    pub(crate) fn catalog(&self, view: &View) -> Arc<Catalog> {
+        if let Some(catalog) = self.shared.catalog.load_full()
+            && Arc::ptr_eq(&catalog.bundle, &view.bundle)
+        {
+            return catalog;
+        }
+        let catalog = Arc::new(Catalog::new(Arc::clone(&view.bundle)));
+        self.shared.catalog.store(Some(Arc::clone(&catalog)));
+        catalog
+    }
+
     /// Returns the upstream of that name, and serves it from now on if the bundle has it.
-    pub(crate) fn upstream(&self, view: &View, key: &UpstreamKey) -> Option<Arc<Upstream>> {
-        let group = view.bundle.groups.iter().find(|g| g.name == key.group)?;
-        let found = group.upstreams.iter().find(|u| u.name == key.upstream)?;
+    pub(crate) fn upstream(&self, catalog: &Catalog, key: &UpstreamKey) -> Option<Arc<Upstream>> {
+        let found = catalog.upstream(key)?;
         let mut upstreams = self.lock_upstreams();
         if let Some(served) = upstreams.get(key)
             && served.target.address == found.address
@@ -106,12 +120,13 @@
             login: settings.login.clone(),
             dialer: Dialer::new(settings.source),
         };
-        let sizes = Sizes {
-            slots: group.slots,
-            connections: group.connections,
-        };
         tracing::info!(event = "upstream_served", group = %key.group, upstream = %key.upstream);
-        let upstream = Arc::new(Upstream::new(key.clone(), target, sizes));
+        let upstream = Arc::new(Upstream::new(
+            key.clone(),
+            target,
+            found.sizes,
+            settings.queue,
+        ));
         upstreams.insert(key.clone(), Arc::clone(&upstream));
         Some(upstream)
     }
@@ -167,10 +182,14 @@
 
 fn dump_upstream(upstream: &Upstream) -> Value {
     let (idle, free) = upstream.connections();
+    let (running, waiting) = upstream.slots.load();
     json!({
         "group": upstream.key.group,
         "upstream": upstream.key.upstream,
         "applied": upstream.known.applied().map(|p| p.to_string()),
+        "running": running,
+        "waiting": waiting,
+        "service_us": upstream.slots.service().as_micros(),
         "idle_connections": idle,
         "free_leases": free,
     })
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
+use mustardbay_policy::queue::Discipline;
 use mustardbay_process::settings::BadValue;
 use mustardbay_process::settings::Settings;
 use mustardbay_process::settings::override_from_env;
@@ -28,6 +29,9 @@
     pub source: Option<IpAddr>,
     /// Login at the upstreams.
     pub login: Login,
+    /// Order in which waiting statements are served.
+    #[serde(default)]
+    pub queue: Discipline,
 }
 
 /// Login at the upstreams.
--- a/crates/pool/src/upstream.rs
+++ b/crates/pool/src/upstream.rs
@@ -7,6 +7,7 @@
 mod known;
 mod leased;
 mod login;
+mod slots;
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,7 +18,7 @@
 use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::position::Position;
 use mustardbay_policy::position::Term;
-use tokio::sync::OwnedSemaphorePermit;
+use mustardbay_policy::queue::Discipline;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -37,6 +38,10 @@
 pub(crate) use error::SQLSTATE_TOO_MANY;
 pub(crate) use error::UpstreamError;
 pub(crate) use leased::Leased;
+pub(crate) use slots::Claim;
+pub(crate) use slots::Crowded;
+pub(crate) use slots::Slot;
+pub(crate) use slots::Slots;
 
 /// Connections of an upstream that are left to control connections.
 const RESERVED_CONNECTIONS: u32 = 4;
@@ -64,15 +69,20 @@
     pub(crate) target: Target,
     pub(crate) known: Known,
     pub(crate) confirmations: Confirmations,
+    pub(crate) slots: Arc<Slots>,
     control: Control,
-    slots: Arc<Semaphore>,
     leases: Arc<Semaphore>,
     idle: Mutex<Vec<Connection>>,
 }
 
 impl Upstream {
     /// Starts to serve an upstream.
-    pub(crate) fn new(key: UpstreamKey, target: Target, sizes: Sizes) -> Self {
+    pub(crate) fn new(
+        key: UpstreamKey,
+        target: Target,
+        sizes: Sizes,
+        discipline: Discipline,
+    ) -> Self {
         let usable = sizes
             .connections
             .saturating_sub(RESERVED_CONNECTIONS)
@@ -83,18 +93,12 @@
             confirmations: Confirmations::start(&target),
             control: Control::new(target.clone()),
             target,
-            slots: Arc::new(Semaphore::new(sizes.slots.max(1) as usize)),
+            slots: Slots::new(discipline, sizes.slots),
             leases: Arc::new(Semaphore::new(usable as usize)),
             idle: Mutex::default(),
         }
     }
 
-    /// Waits for a slot; `None` when the deadline passes first.
-    pub(crate) async fn slot(&self, deadline: Instant) -> Option<OwnedSemaphorePermit> {
-        let slots = Arc::clone(&self.slots);
-        timeout_at(deadline, slots.acquire_owned()).await.ok()?.ok()
-    }
-
     /// Leases a connection of `term`, an idle one if there is one.
     pub(crate) async fn lease(
         self: &Arc<Self>,
--- a/crates/pool/tests/pool/fixture.rs
+++ b/crates/pool/tests/pool/fixture.rs
@@ -11,6 +11,7 @@
 use mustardbay_policy::bundle::Limits;
 use mustardbay_policy::bundle::Upstream;
 use mustardbay_policy::position::Term;
+use mustardbay_policy::queue::Discipline;
 use mustardbay_policy::view::GroupState;
 use mustardbay_policy::view::View;
 use mustardbay_pool::Login;
@@ -61,6 +62,7 @@
                 user: "mustardbay".to_owned(),
                 password: "secret".to_owned(),
             },
+            queue: Discipline::Fair,
         };
         let link = StewardLink::start(steward.address.clone(), "pool", 1);
         let mut changes = link.changes();
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -8,5 +8,6 @@
 mod cancellation;
 mod durable;
 mod operations;
+mod overload;
 mod reads;
 mod transactions;
