Add open-loop load and the measurement of the hop

Change: seeded Poisson arrivals, sessions that move between entries with or without their token and retry identified writes of unknown outcome, latencies in HDR histograms; the hop alternates both ways in one run. Requests of a history carry their route.

The load and the hop have not run against the programs yet.

--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -3,6 +3,7 @@
 use thiserror::Error;
 
 use crate::demo::DemoError;
+use crate::history::HistoryError;
 
 /// Why a stand-in or a measurement could not do its work.
 #[derive(Debug, Error)]
@@ -24,6 +25,12 @@
     /// A PostgreSQL connection failed, or an upstream answered with an error.
     #[error("upstream failed: {0}")]
     Postgres(#[from] tokio_postgres::Error),
+    /// A file cannot be read or written.
+    #[error("file: {0}")]
+    File(#[from] std::io::Error),
+    /// A history cannot be read or written.
+    #[error(transparent)]
+    History(#[from] HistoryError),
     /// The demonstration could not go on.
     #[error(transparent)]
     Demo(#[from] DemoError),
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 
 use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::RouteName;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -68,6 +69,8 @@
     pub session: u64,
     /// Account that it runs for.
     pub account: AccountName,
+    /// Route that it takes.
+    pub route: RouteName,
     /// What it did.
     pub action: Action,
     /// Sequence number that a write carries, 0 for a read.
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -8,6 +8,10 @@
 
 use crate::demo;
 use crate::error::LabError;
+use crate::hop;
+use crate::hop::HopArgs;
+use crate::load;
+use crate::load::LoadArgs;
 use crate::platform;
 use crate::platform::Platform;
 use crate::relay;
@@ -29,6 +33,10 @@
     Upstream(UpstreamArgs),
     /// Shows on a small fleet what mustardbay promises.
     Demo(DemoArgs),
+    /// Measures what an entry costs against a direct connection.
+    Hop(HopArgs),
+    /// Puts an open-loop load on entries.
+    Load(LoadArgs),
     /// Runs a stand-in for the platform's key-value service.
     Platform(platform::Config),
     /// Relays TCP links that can be cut, frozen and delayed.
@@ -62,6 +70,8 @@
 async fn execute(command: Command) -> Result<Exit, LabError> {
     match command {
         Command::Demo(args) => return demonstrate(&args).await,
+        Command::Hop(args) => hop::run(args).await?,
+        Command::Load(args) => load::run(args).await?,
         Command::Upstream(args) => {
             let upstream = Upstream::start(args.into()).await?;
             println!("{}", upstream.address());
