Share rates across the fleet by escrow

Cause: a rate counted on each virtual machine alone is exceeded by the fleet. Change: an exact token bucket; a holder that spends only its parts; loans of parts and tokens that lapse at the borrower before the lender uses them again; deeds by which an owner that leaves hands its ledger entry to a peer; a freeze after a pause; a reclaim that waits longer than the freeze and asks every listed virtual machine for deeds first.

--- /dev/null
+++ b/crates/policy/src/account/bucket.rs
@@ -0,0 +1,133 @@
+//! Token bucket that counts exactly.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One token, in the unit that buckets count in: a millionth of a token.
+pub const TOKEN: u64 = 1_000_000;
+/// Nanoseconds in a second, the unit that accrued fractions are kept in.
+const NANOS: u128 = 1_000_000_000;
+
+/// Returns an amount of tokens in millionths, rounded down; anything negative is 0.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates, and amounts are checked when a bundle is parsed"
+)]
+pub fn micros(amount: f64) -> u64 {
+    (amount * 1e6).floor() as u64
+}
+
+/// Token bucket in millionths of a token.
+///
+/// What is taken in any window of length `w` never exceeds the largest burst plus the largest rate
+/// times `w` that were set in it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bucket {
+    rate: u64,
+    burst: u64,
+    tokens: u64,
+    accrued: u128,
+    at: Duration,
+}
+
+impl Bucket {
+    /// Creates a full bucket; `now` is a reading of the caller's monotonic clock.
+    #[must_use]
+    pub fn full(rate: u64, burst: u64, now: Duration) -> Self {
+        Self {
+            tokens: burst,
+            ..Self::empty(rate, burst, now)
+        }
+    }
+
+    /// Creates an empty bucket; `now` is a reading of the caller's monotonic clock.
+    #[must_use]
+    pub fn empty(rate: u64, burst: u64, now: Duration) -> Self {
+        Self {
+            rate,
+            burst,
+            tokens: 0,
+            accrued: 0,
+            at: now,
+        }
+    }
+
+    /// Adds what has accrued up to `now`; a reading before the last one adds nothing.
+    pub fn advance(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.at).as_nanos();
+        self.at = self.at.max(now);
+        let accrued = elapsed
+            .saturating_mul(self.rate.into())
+            .saturating_add(self.accrued);
+        let whole = u64::try_from(accrued / NANOS).unwrap_or(u64::MAX);
+        self.accrued = accrued % NANOS;
+        self.tokens = self.tokens.saturating_add(whole);
+        self.clamp();
+    }
+
+    /// Changes rate and burst from now on; tokens beyond the new burst are lost.
+    pub fn resize(&mut self, rate: u64, burst: u64) {
+        self.rate = rate;
+        self.burst = burst;
+        self.clamp();
+    }
+
+    /// Takes an amount if the bucket holds it.
+    pub fn take(&mut self, amount: u64) -> bool {
+        let Some(rest) = self.tokens.checked_sub(amount) else {
+            return false;
+        };
+        self.tokens = rest;
+        true
+    }
+
+    /// Adds an amount from elsewhere; what exceeds the burst is lost.
+    pub fn add(&mut self, amount: u64) {
+        self.tokens = self.tokens.saturating_add(amount);
+        self.clamp();
+    }
+
+    /// Drops every token.
+    pub fn clear(&mut self) {
+        self.tokens = 0;
+        self.accrued = 0;
+    }
+
+    /// Returns the amount held.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Returns the amount that the bucket can hold.
+    #[must_use]
+    pub fn burst(&self) -> u64 {
+        self.burst
+    }
+
+    /// Returns the time until the bucket holds an amount; `None` if it never will.
+    #[must_use]
+    pub fn time_until(&self, amount: u64) -> Option<Duration> {
+        let missing = amount.saturating_sub(self.tokens);
+        if missing == 0 {
+            return Some(Duration::ZERO);
+        }
+        if amount > self.burst || self.rate == 0 {
+            return None;
+        }
+        let nanos = (u128::from(missing) * NANOS).div_ceil(self.rate.into());
+        Some(Duration::from_nanos(u64::try_from(nanos).ok()?))
+    }
+
+    fn clamp(&mut self) {
+        if self.tokens >= self.burst {
+            self.tokens = self.burst;
+            self.accrued = 0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/escrow/demand.rs
@@ -0,0 +1,44 @@
+//! Demand for an account on one virtual machine.
+
+use std::time::Duration;
+
+/// Time over which a past request loses half of its weight.
+const HALF_LIFE: Duration = Duration::from_millis(500);
+
+/// Tokens wanted a second, as a decaying average; refused ones count too.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Demand {
+    weight: f64,
+    at: Duration,
+}
+
+impl Demand {
+    /// Counts tokens that were wanted now.
+    pub(super) fn add(&mut self, tokens: u64, now: Duration) {
+        self.decay(now);
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "an estimate needs no more precision"
+        )]
+        let tokens = tokens as f64;
+        self.weight += tokens;
+    }
+
+    /// Returns the tokens wanted a second, in thousandths.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the cast saturates and the weight is never negative"
+    )]
+    pub(super) fn rate(&mut self, now: Duration) -> u64 {
+        self.decay(now);
+        let per_second = self.weight * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64();
+        (per_second * 1_000.0) as u64
+    }
+
+    fn decay(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.at);
+        self.weight *= 0.5_f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        self.at = self.at.max(now);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/escrow/ledger.rs
@@ -0,0 +1,90 @@
+//! Record of who owns the parts of an account.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::HolderId;
+use super::Parts;
+
+/// Parts that one life of a steward owns.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LedgerEntry {
+    /// Owner.
+    pub owner: HolderId,
+    /// Parts of rate and burst.
+    pub parts: Parts,
+}
+
+/// Record of who owns the parts of an account; changed by compare-and-swap only.
+///
+/// The parts of all entries never exceed [`Parts::ALL`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ledger {
+    /// Number of changes so far.
+    pub epoch: u64,
+    /// Owners and their parts.
+    pub entries: Vec<LedgerEntry>,
+    /// Random number of the writer, which tells equal changes apart.
+    pub nonce: u64,
+}
+
+impl Ledger {
+    /// Cuts an account evenly among its first owners.
+    #[must_use]
+    pub fn create(owners: &[HolderId], nonce: u64) -> Self {
+        let count = u32::try_from(owners.len()).unwrap_or(u32::MAX);
+        let parts = Parts(Parts::ALL.0.checked_div(count).unwrap_or(0));
+        let entries = owners.iter().map(|owner| LedgerEntry {
+            owner: owner.clone(),
+            parts,
+        });
+        Self {
+            epoch: 1,
+            entries: entries.collect(),
+            nonce,
+        }
+    }
+
+    /// Tells whether the record could have been written by this program.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let total: u64 = self.entries.iter().map(|e| u64::from(e.parts.0)).sum();
+        total <= Parts::ALL.0.into()
+    }
+
+    /// Returns the parts that an owner's entry holds.
+    #[must_use]
+    pub fn parts(&self, owner: &HolderId) -> Parts {
+        let own = self.entries.iter().filter(|e| e.owner == *owner);
+        own.map(|e| e.parts).sum()
+    }
+
+    /// Tells whether an owner has an entry.
+    #[must_use]
+    pub fn lists(&self, owner: &HolderId) -> bool {
+        self.entries.iter().any(|e| e.owner == *owner)
+    }
+
+    /// Moves entries to another owner; `None` if one of them is no longer listed.
+    #[must_use]
+    pub fn moved(&self, from: &[HolderId], to: &HolderId, nonce: u64) -> Option<Self> {
+        if !from.iter().all(|owner| self.lists(owner)) {
+            return None;
+        }
+        let mut next = self.clone();
+        next.epoch += 1;
+        next.nonce = nonce;
+        let parts = from.iter().map(|owner| self.parts(owner)).sum();
+        next.entries.retain(|e| !from.contains(&e.owner));
+        match next.entries.iter_mut().find(|e| e.owner == *to) {
+            Some(entry) => entry.parts = entry.parts.plus(parts),
+            None => next.entries.push(LedgerEntry {
+                owner: to.clone(),
+                parts,
+            }),
+        }
+        Some(next)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/escrow.rs
@@ -0,0 +1,271 @@
+//! Escrow of rates: the sum over the fleet, loans, deeds, freezes and reclaims.
+
+#[path = "escrow/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use mustardbay_policy::account::TOKEN;
+use mustardbay_policy::escrow::Draw;
+use mustardbay_policy::escrow::FREEZE_GAP;
+use mustardbay_policy::escrow::Holder;
+use mustardbay_policy::escrow::HolderId;
+use mustardbay_policy::escrow::LOAN_MARGIN;
+use mustardbay_policy::escrow::LOAN_TERM;
+use mustardbay_policy::escrow::Ledger;
+use mustardbay_policy::escrow::Parts;
+use mustardbay_policy::escrow::RECLAIM_WAIT;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use world::World;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// One step of a random schedule; indexes are taken modulo what is there.
+#[derive(Debug, Clone)]
+enum Step {
+    Advance(u64),
+    Draw(usize, u64, u64),
+    Spend(usize, u64),
+    Ask(usize, u64),
+    Deliver(usize),
+    Duplicate(usize),
+    Lose(usize),
+    Kill(usize),
+    Start(usize),
+    Pause(usize, u64, bool),
+    Leave(usize, usize),
+    ReadLedger(usize),
+    Platform(bool),
+}
+
+const VMS: usize = 4;
+
+fn step() -> impl Strategy<Value = Step> {
+    let vm = 0..VMS;
+    prop_oneof![
+        6 => (1_u64..400).prop_map(Step::Advance),
+        2 => (400_u64..4_000).prop_map(Step::Advance),
+        10 => (vm.clone(), 1_u64..30, 0_u64..30).prop_map(|(v, w, s)| Step::Draw(v, w, s)),
+        4 => (vm.clone(), 0_u64..30).prop_map(|(v, s)| Step::Spend(v, s)),
+        6 => (vm.clone(), 1_u64..30).prop_map(|(v, w)| Step::Ask(v, w)),
+        20 => any::<usize>().prop_map(Step::Deliver),
+        3 => any::<usize>().prop_map(Step::Duplicate),
+        2 => any::<usize>().prop_map(Step::Lose),
+        1 => vm.clone().prop_map(Step::Kill),
+        1 => vm.clone().prop_map(Step::Start),
+        1 => (vm.clone(), 1_u64..40_000, any::<bool>()).prop_map(|(v, t, d)| Step::Pause(v, t, d)),
+        1 => (vm.clone(), vm.clone()).prop_map(|(v, h)| Step::Leave(v, h)),
+        3 => vm.prop_map(Step::ReadLedger),
+        1 => any::<bool>().prop_map(Step::Platform),
+    ]
+}
+
+fn run(world: &mut World, step: &Step) {
+    match *step {
+        Step::Advance(ms) => world.advance(Duration::from_millis(ms)),
+        Step::Draw(vm, wanted, spend) => {
+            world.draw(vm, wanted, spend);
+        }
+        Step::Spend(vm, tokens) => {
+            world.spend(vm, tokens);
+        }
+        Step::Ask(vm, tokens) => world.ask(vm, tokens),
+        Step::Deliver(index) => world.deliver(index, false),
+        Step::Duplicate(index) => world.deliver(index, true),
+        Step::Lose(index) => {
+            if !world.packets.is_empty() {
+                let index = index % world.packets.len();
+                world.packets.remove(index);
+            }
+        }
+        Step::Kill(vm) => world.kill(vm),
+        Step::Start(vm) => world.start(vm),
+        Step::Pause(vm, ms, delist) => world.pause(vm, Duration::from_millis(ms), delist),
+        Step::Leave(vm, heir) => world.leave(vm, heir),
+        Step::ReadLedger(vm) => world.read_ledger(vm),
+        Step::Platform(up) => world.platform_up = up,
+    }
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(3399),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn fleet_never_exceeds(
+        rate in prop_oneof![Just(2.0), Just(20.0), Just(300.0)],
+        burst in prop_oneof![Just(1.0), Just(10.0), Just(200.0)],
+        steps in prop::collection::vec(step(), 50..600),
+    ) {
+        let mut world = World::new(VMS, rate, burst);
+        for (at, step) in steps.iter().enumerate() {
+            run(&mut world, step);
+            prop_assert_eq!(world.overshoot, 0, "step {} {:?}", at, step);
+            prop_assert!(world.ledger.is_valid());
+        }
+    }
+}
+
+fn settle(world: &mut World, time: Duration) {
+    let end = world.now + time;
+    while world.now < end {
+        world.advance(Duration::from_millis(250));
+        world.deliver_all();
+    }
+}
+
+#[test]
+fn loan_follows_demand() {
+    let mut world = World::new(4, 100.0, 40.0);
+    settle(&mut world, SECOND);
+    for _ in 0..40 {
+        world.advance(Duration::from_millis(50));
+        world.draw(0, 5, 5);
+        world.ask(0, 5);
+        world.deliver_all();
+    }
+    let held = world.vms[0].holder.holding().rate;
+    assert!(held > Parts(900_000), "{held:?}");
+    assert_eq!(world.overshoot, 0);
+}
+
+#[test]
+fn loan_lapses_for_lender_after_borrower() {
+    let mut world = World::new(2, 100.0, 40.0);
+    settle(&mut world, SECOND);
+    world.draw(0, 30, 30);
+    world.ask(0, 10);
+    world.deliver_all();
+    assert!(world.vms[0].holder.holding().rate > Parts(500_000));
+    world.kill(0);
+    settle(&mut world, LOAN_TERM);
+    assert!(world.vms[1].holder.holding().rate < Parts(500_000));
+    settle(&mut world, LOAN_MARGIN + SECOND);
+    assert_eq!(world.vms[1].holder.holding().rate, Parts(500_000));
+}
+
+#[test]
+fn dead_owner_is_reclaimed() {
+    let mut world = World::new(4, 100.0, 40.0);
+    world.kill(0);
+    settle(&mut world, RECLAIM_WAIT / 2);
+    assert_eq!(world.parts_in_use(), Parts(750_000));
+    settle(&mut world, RECLAIM_WAIT);
+    assert_eq!(world.parts_in_use(), Parts::ALL);
+}
+
+#[test]
+fn dead_owner_stays_while_a_peer_is_silent() {
+    let mut world = World::new(4, 100.0, 40.0);
+    world.kill(0);
+    world.pause(1, SECOND * 600, false);
+    settle(&mut world, RECLAIM_WAIT * 4);
+    assert_eq!(world.ledger.epoch, 1);
+}
+
+#[test]
+fn deed_moves_parts_during_outage() {
+    let mut world = World::new(4, 100.0, 40.0);
+    world.platform_up = false;
+    world.leave(0, 1);
+    world.deliver_all();
+    world.kill(0);
+    settle(&mut world, SECOND);
+    assert_eq!(world.parts_in_use(), Parts::ALL);
+    world.platform_up = true;
+    world.read_ledger(1);
+    settle(&mut world, RECLAIM_WAIT * 2);
+    assert_eq!(world.parts_in_use(), Parts::ALL);
+    assert_eq!(world.ledger.entries.len(), 3);
+}
+
+#[test]
+fn deed_unregistered_is_not_reclaimed() {
+    let mut world = World::new(4, 100.0, 40.0);
+    world.leave(0, 1);
+    world.deliver_all();
+    world.kill(0);
+    settle(&mut world, RECLAIM_WAIT * 3);
+    assert_eq!(world.ledger.epoch, 1);
+    assert_eq!(world.parts_in_use(), Parts::ALL);
+}
+
+#[test]
+fn new_vm_borrows_during_outage() {
+    let mut world = World::new(4, 100.0, 40.0);
+    settle(&mut world, SECOND);
+    world.platform_up = false;
+    world.kill(3);
+    world.start(3);
+    assert_eq!(world.draw(3, 5, 5), 0);
+    world.ask(3, 5);
+    world.deliver_all();
+    assert_eq!(world.draw(3, 5, 5), 5);
+}
+
+#[test]
+fn paused_owner_is_frozen_until_confirmed() {
+    let mut world = World::new(2, 100.0, 40.0);
+    settle(&mut world, SECOND);
+    world.pause(0, FREEZE_GAP, false);
+    world.advance(FREEZE_GAP);
+    assert_eq!(world.draw(0, 5, 5), 0);
+    assert!(world.vms[0].holder.is_frozen());
+    world.read_ledger(0);
+    world.advance(SECOND);
+    assert_eq!(world.draw(0, 5, 5), 5);
+}
+
+#[test]
+fn ledger_asked_before_pause_confirms_nothing() {
+    let id = HolderId::new("vm0", 1);
+    let ledger = Ledger::create(std::slice::from_ref(&id), 0);
+    let mut holder = Holder::new(id, 100 * TOKEN, 10 * TOKEN, Duration::ZERO);
+    holder.on_ledger(&ledger, Some(Duration::ZERO), Duration::ZERO);
+    holder.on_ledger(&ledger, Some(SECOND), SECOND + FREEZE_GAP);
+    assert!(holder.is_frozen());
+    let later = SECOND * 2 + FREEZE_GAP;
+    holder.on_ledger(&ledger, None, later);
+    assert!(holder.is_frozen());
+    holder.on_ledger(&ledger, Some(later), later);
+    assert!(!holder.is_frozen());
+}
+
+#[test]
+fn late_report_frees_nothing_twice() {
+    let id = HolderId::new("vm0", 1);
+    let ledger = Ledger::create(std::slice::from_ref(&id), 0);
+    let mut holder = Holder::new(id, TOKEN, 10 * TOKEN, Duration::ZERO);
+    holder.on_ledger(&ledger, None, Duration::ZERO);
+    let full = SECOND * 9;
+    holder.advance(full);
+    assert_eq!(holder.draw(1, 5, 0, full), Draw::Granted(5));
+    let later = full + SECOND;
+    assert_eq!(holder.draw(1, 5, 0, later), Draw::Granted(5));
+    holder.draw(1, 0, 5, later);
+    assert_eq!(holder.holding().granted, 5);
+}
+
+#[test]
+fn reconnected_drawer_frees_nothing_early() {
+    let id = HolderId::new("vm0", 1);
+    let ledger = Ledger::create(std::slice::from_ref(&id), 0);
+    let mut holder = Holder::new(id, TOKEN, 10 * TOKEN, Duration::ZERO);
+    holder.on_ledger(&ledger, None, Duration::ZERO);
+    let full = SECOND * 9;
+    holder.advance(full);
+    assert_eq!(holder.draw(1, 5, 0, full), Draw::Granted(5));
+    holder.on_drawer_gone(1);
+    assert_eq!(holder.draw(2, 3, 0, full), Draw::Granted(3));
+    holder.draw(2, 0, 5, full);
+    assert_eq!(holder.holding().granted, 3);
+}
