Add promises on real processes and keep views from going back

Cause: a vm restarted while the platform was down pushed an empty bundle, and its entry refused good keys with 28P01. Change: a link shows no view before an accepted bundle, and a group's term in a view never falls.

--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -287,7 +287,7 @@
             .position(|plan| plan.name.as_str() == vm);
         let n = n.ok_or_else(|| FleetError::Unknown(vm.to_owned()))?;
         self.start_vm(n)?;
-        self.wait_vms().await
+        self.wait_vm(vm).await
     }
 
     /// Submits a changed bundle as the next version.
@@ -479,15 +479,20 @@
 
     async fn wait_vms(&self) -> Result<(), FleetError> {
         for vm in &self.plan.layout.vms {
-            for (program, kind) in [
-                ("steward", Kind::Steward),
-                ("pool", Kind::Pool),
-                ("entry", Kind::Entry),
-            ] {
-                let url = self.admin(vm.name.as_str(), kind);
-                self.wait_ready(&format!("{}-{program}", vm.name), &url)
-                    .await?;
-            }
+            self.wait_vm(vm.name.as_str()).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_vm(&self, vm: &str) -> Result<(), FleetError> {
+        let programs = [
+            ("steward", Kind::Steward),
+            ("pool", Kind::Pool),
+            ("entry", Kind::Entry),
+        ];
+        for (program, kind) in programs {
+            let url = self.admin(vm, kind);
+            self.wait_ready(&format!("{vm}-{program}"), &url).await?;
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/lab/tests/e2e/at_most_once.rs
@@ -0,0 +1,76 @@
+//! Requests that may not be repeated run at most once.
+
+use mustardbay_lab::fleet::Fleet;
+use mustardbay_lab::fleet::demo;
+
+use crate::caller::count;
+use crate::caller::eventually;
+use crate::caller::set_up_table;
+
+const NOTE: &str = "/* mustardbay.request_id=note-1 */ INSERT INTO entries (note) VALUES ('once')";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_id_retried_on_other_entry() {
+    let fleet = Fleet::start(demo()).await.expect("fleet starts");
+    set_up_table(&fleet).await;
+    for vm in ["vm1", "vm2", "vm3", "vm1"] {
+        let caller = fleet
+            .caller(vm, "alice", "ledger")
+            .await
+            .expect("caller connects");
+        caller.simple_query(NOTE).await.expect("note is saved");
+        assert_eq!(count(&caller).await, 1, "notes after a retry on {vm}");
+    }
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_id_at_the_same_time() {
+    let fleet = Fleet::start(demo()).await.expect("fleet starts");
+    set_up_table(&fleet).await;
+    let mut callers = Vec::new();
+    for vm in ["vm1", "vm2", "vm3"] {
+        callers.push(
+            fleet
+                .caller(vm, "alice", "ledger")
+                .await
+                .expect("caller connects"),
+        );
+    }
+    let (a, b, c) = tokio::join!(
+        callers[0].simple_query(NOTE),
+        callers[1].simple_query(NOTE),
+        callers[2].simple_query(NOTE),
+    );
+    for answer in [a, b, c] {
+        answer.expect("every caller gets the recorded answer");
+    }
+    assert_eq!(count(&callers[0]).await, 1);
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_id_after_promotion() {
+    let mut fleet = Fleet::start(demo()).await.expect("fleet starts");
+    set_up_table(&fleet).await;
+    let caller = fleet
+        .caller("vm1", "alice", "ledger")
+        .await
+        .expect("caller connects");
+    caller.simple_query(NOTE).await.expect("note is saved");
+    let primary = fleet.primary("ledger").await.expect("primary");
+    fleet
+        .kill(&format!("upstream-{primary}"))
+        .await
+        .expect("primary is killed");
+    let other = fleet
+        .caller("vm2", "alice", "ledger")
+        .await
+        .expect("caller connects");
+    eventually("the recorded answer", async || {
+        other.simple_query(NOTE).await.ok()
+    })
+    .await;
+    assert_eq!(count(&other).await, 1);
+    fleet.stop().await;
+}
--- /dev/null
+++ b/crates/lab/tests/e2e/failover.rs
@@ -0,0 +1,215 @@
+//! Loss, cut and freeze of a primary: no acknowledged write is lost, no replaced primary acknowledges.
+
+use mustardbay_lab::fleet::Fleet;
+use mustardbay_lab::fleet::demo;
+use mustardbay_policy::names::DomainName;
+use tokio_postgres::Client;
+
+use crate::caller::count;
+use crate::caller::eventually;
+use crate::caller::insert;
+use crate::caller::is_not_run;
+use crate::caller::refusal;
+use crate::caller::session_token;
+use crate::caller::set_up_table;
+
+/// Writes before and after a fault.
+const WRITES: i64 = 20;
+
+/// Returns those of `ids` that a fresh session does not see.
+async fn missing(fleet: &Fleet, vm: &str, ids: &[i64]) -> Vec<i64> {
+    let caller = fleet
+        .caller(vm, "alice", "ledger")
+        .await
+        .expect("caller connects");
+    let rows = caller
+        .query("SELECT id FROM entries", &[])
+        .await
+        .expect("rows are read");
+    let seen: Vec<i64> = rows.iter().map(|row| row.get(0)).collect();
+    ids.iter()
+        .copied()
+        .filter(|id| !seen.contains(id))
+        .collect()
+}
+
+/// Inserts rows one after the other, until each is acknowledged under an id of its own.
+async fn write_through(caller: &Client, first: i64, acknowledged: &mut Vec<i64>) {
+    let mut id = first;
+    for _ in 0..WRITES {
+        let written = eventually("a write", async || {
+            id += 1;
+            insert(caller, id).await.ok().map(|()| id)
+        });
+        acknowledged.push(written.await);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn primary_killed() {
+    let mut fleet = Fleet::start(demo()).await.expect("fleet starts");
+    set_up_table(&fleet).await;
+    let caller = fleet
+        .caller("vm1", "alice", "ledger")
+        .await
+        .expect("caller connects");
+    let mut acknowledged = Vec::new();
+    write_through(&caller, 0, &mut acknowledged).await;
+    let primary = fleet.primary("ledger").await.expect("primary");
+    fleet
+        .kill(&format!("upstream-{primary}"))
+        .await
+        .expect("primary is killed");
+    write_through(&caller, 1_000, &mut acknowledged).await;
+    assert_eq!(
+        missing(&fleet, "vm2", &acknowledged).await,
+        Vec::<i64>::new()
+    );
+    let token = session_token(&caller).await;
+    let reader = fleet
+        .caller_with("vm3", "alice", "ledger", Some(&token))
+        .await;
+    let reader = reader.expect("caller connects");
+    let seen = usize::try_from(count(&reader).await).expect("a count");
+    assert!(
+        seen >= acknowledged.len(),
+        "{seen} rows of {} acknowledged",
+        acknowledged.len()
+    );
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn primary_frozen_and_thawed() {
+    let mut fleet = Fleet::start(demo()).await.expect("fleet starts");
+    set_up_table(&fleet).await;
+    let caller = fleet
+        .caller("vm1", "alice", "ledger")
+        .await
+        .expect("caller connects");
+    let mut acknowledged = Vec::new();
+    write_through(&caller, 0, &mut acknowledged).await;
+    let old = fleet.primary("ledger").await.expect("primary");
+    let old = format!("upstream-{old}");
+    fleet
+        .program(&old)
+        .expect("primary runs")
+        .freeze()
+        .expect("primary freezes");
+    write_through(&caller, 1_000, &mut acknowledged).await;
+    fleet
+        .program(&old)
+        .expect("primary runs")
+        .thaw()
+        .expect("primary thaws");
+    write_through(&caller, 2_000, &mut acknowledged).await;
+    for vm in ["vm1", "vm2", "vm3"] {
+        assert_eq!(
+            missing(&fleet, vm, &acknowledged).await,
+            Vec::<i64>::new(),
+            "seen on {vm}"
+        );
+    }
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn primary_cut_off_with_entries() {
+    let south = DomainName::from("south");
+    let mut layout = demo().with_relays();
+    let ledger = layout
+        .bundle
+        .groups
+        .iter_mut()
+        .find(|group| group.name.as_str() == "ledger");
+    for (n, upstream) in ledger.expect("a group").upstreams.iter_mut().enumerate() {
+        upstream.domain = if n == 0 {
+            south.clone()
+        } else {
+            DomainName::from("north")
+        };
+    }
+    let fleet = Fleet::start(layout).await.expect("fleet starts");
+    set_up_table(&fleet).await;
+    let inside = fleet
+        .caller("vm2", "alice", "ledger")
+        .await
+        .expect("caller connects");
+    let outside = fleet
+        .caller("vm1", "alice", "ledger")
+        .await
+        .expect("caller connects");
+    let mut acknowledged = Vec::new();
+    write_through(&outside, 0, &mut acknowledged).await;
+    fleet.isolate(&south).await.expect("south is cut off");
+    let mut refused = Vec::new();
+    for id in 5_000..5_000 + WRITES {
+        match insert(&inside, id).await {
+            Ok(()) => acknowledged.push(id),
+            Err(e) => refused.push((id, is_not_run(&e), refusal(&e))),
+        }
+    }
+    write_through(&outside, 1_000, &mut acknowledged).await;
+    fleet.heal(&south).await.expect("south is healed");
+    write_through(&outside, 2_000, &mut acknowledged).await;
+    assert_eq!(
+        missing(&fleet, "vm1", &acknowledged).await,
+        Vec::<i64>::new()
+    );
+    let not_run: Vec<i64> = refused.iter().filter(|r| r.1).map(|r| r.0).collect();
+    let ran = missing(&fleet, "vm1", &not_run).await;
+    assert_eq!(
+        ran, not_run,
+        "writes refused as not run that ran; refusals: {refused:?}"
+    );
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_down_primary_killed() {
+    let mut fleet = Fleet::start(demo()).await.expect("fleet starts");
+    set_up_table(&fleet).await;
+    let caller = fleet
+        .caller("vm1", "alice", "ledger")
+        .await
+        .expect("caller connects");
+    let mut acknowledged = Vec::new();
+    write_through(&caller, 0, &mut acknowledged).await;
+    let token = session_token(&caller).await;
+    fleet
+        .switch_platform("down")
+        .await
+        .expect("platform is down");
+    let primary = fleet.primary("ledger").await.expect("primary");
+    fleet
+        .kill(&format!("upstream-{primary}"))
+        .await
+        .expect("primary is killed");
+    let reader = fleet
+        .caller_with("vm2", "alice", "ledger", Some(&token))
+        .await;
+    let reader = reader.expect("caller connects");
+    eventually("a read without a primary", async || {
+        reader
+            .query_one("SELECT count(*) FROM entries", &[])
+            .await
+            .ok()
+    })
+    .await;
+    let refused = eventually("a write refused as not run", async || {
+        let refused = insert(&reader, 9_000).await.err()?;
+        is_not_run(&refused).then(|| refusal(&refused))
+    })
+    .await;
+    assert!(
+        refused.1.contains("retry_after_ms="),
+        "refusal without a time: {refused:?}"
+    );
+    fleet.switch_platform("up").await.expect("platform is up");
+    write_through(&caller, 1_000, &mut acknowledged).await;
+    assert_eq!(
+        missing(&fleet, "vm3", &acknowledged).await,
+        Vec::<i64>::new()
+    );
+    fleet.stop().await;
+}
--- /dev/null
+++ b/crates/lab/tests/e2e/rates.rs
@@ -0,0 +1,71 @@
+//! Rates: an account gets no more than rate and burst over the whole fleet.
+
+use std::time::Duration;
+
+use mustardbay_lab::fleet::Fleet;
+use mustardbay_lab::fleet::demo;
+use tokio::time::Instant;
+
+use crate::caller::refusal;
+use crate::caller::set_up_table;
+
+/// Rate and burst of the account under test, in statements a second and statements.
+const RATE: f64 = 40.0;
+const BURST: f64 = 40.0;
+/// How long every entry is flooded.
+const FLOOD: Duration = Duration::from_secs(3);
+
+/// Sends statements one after the other and returns how many were served.
+async fn flood(fleet: &Fleet, vm: &str) -> u32 {
+    let caller = fleet
+        .caller(vm, "bob", "ledger")
+        .await
+        .expect("caller connects");
+    let end = Instant::now() + FLOOD;
+    let mut served = 0;
+    while Instant::now() < end {
+        match caller.simple_query("SELECT 1").await {
+            Ok(_) => served += 1,
+            Err(e) => {
+                let (code, detail) = refusal(&e);
+                assert_eq!(code, "53400", "refused with {detail}");
+                assert!(detail.contains("outcome=not_run"), "refused with {detail}");
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+    served
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn flood_on_every_entry() {
+    let mut layout = demo();
+    for account in layout
+        .bundle
+        .accounts
+        .iter_mut()
+        .filter(|a| a.name.as_str() == "bob")
+    {
+        account.rate = RATE;
+        account.burst = BURST;
+    }
+    let fleet = Fleet::start(layout).await.expect("fleet starts");
+    set_up_table(&fleet).await;
+    let started = Instant::now();
+    let (a, b, c) = tokio::join!(
+        flood(&fleet, "vm1"),
+        flood(&fleet, "vm2"),
+        flood(&fleet, "vm3")
+    );
+    let entitled = BURST + RATE * started.elapsed().as_secs_f64();
+    let served = f64::from(a + b + c);
+    assert!(
+        served <= entitled,
+        "{served} statements served, {entitled:.1} entitled"
+    );
+    assert!(
+        served >= entitled / 2.0,
+        "{served} statements served, {entitled:.1} entitled"
+    );
+    fleet.stop().await;
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -3,6 +3,8 @@
 //! The link reconnects by itself. While it is down, the last view stays in force and draws of
 //! tokens get no answer.
 
+mod merge;
 mod steward_link;
 
+pub use merge::merge;
 pub use steward_link::StewardLink;
--- /dev/null
+++ b/crates/link/src/merge.rs
@@ -0,0 +1,60 @@
+//! Merge of a view update into the last view; versions and terms never go back.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use mustardbay_policy::bundle::Bundle;
+use mustardbay_policy::names::GroupName;
+use mustardbay_policy::view::GroupState;
+use mustardbay_policy::view::View;
+use mustardbay_wire::ViewUpdate;
+
+/// Builds the next view from the last one and the parts that changed.
+///
+/// A steward that has restarted may offer an older bundle or an older term; the newer one is kept.
+///
+/// # Errors
+///
+/// Fails if a part is not the expected JSON.
+pub fn merge(old: Option<&View>, update: &ViewUpdate) -> Result<View, serde_json::Error> {
+    let bundle = match (&update.bundle, old) {
+        (Some(json), _) => newer_bundle(serde_json::from_slice(json)?, old),
+        (None, Some(old)) => Arc::clone(&old.bundle),
+        (None, None) => Arc::default(),
+    };
+    let groups = match (&update.groups, old) {
+        (Some(json), _) => newer_groups(serde_json::from_slice(json)?, old),
+        (None, Some(old)) => old.groups.clone(),
+        (None, None) => BTreeMap::default(),
+    };
+    let vms = match (&update.vms, old) {
+        (Some(json), _) => serde_json::from_slice(json)?,
+        (None, Some(old)) => old.vms.clone(),
+        (None, None) => BTreeMap::default(),
+    };
+    Ok(View {
+        bundle,
+        groups,
+        vms,
+    })
+}
+
+fn newer_bundle(bundle: Bundle, old: Option<&View>) -> Arc<Bundle> {
+    match old {
+        Some(old) if old.bundle.version > bundle.version => Arc::clone(&old.bundle),
+        _ => Arc::new(bundle),
+    }
+}
+
+fn newer_groups(
+    mut groups: BTreeMap<GroupName, GroupState>,
+    old: Option<&View>,
+) -> BTreeMap<GroupName, GroupState> {
+    for (name, state) in &mut groups {
+        let known = old.and_then(|old| old.groups.get(name));
+        if let Some(known) = known.filter(|known| known.term > state.term) {
+            *state = known.clone();
+        }
+    }
+    groups
+}
--- a/crates/link/src/steward_link.rs
+++ b/crates/link/src/steward_link.rs
@@ -1,6 +1,5 @@
 //! Client side of the steward's local endpoint.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,7 +11,7 @@
 use arc_swap::ArcSwapOption;
 use futures::SinkExt;
 use futures::StreamExt;
-use mustardbay_policy::bundle::Bundle;
+use mustardbay_policy::bundle::BundleVersion;
 use mustardbay_policy::view::View;
 use mustardbay_wire::CodecError;
 use mustardbay_wire::DrawTokens;
@@ -31,6 +30,8 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::merge;
+
 /// Pause between two attempts to reach the steward.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// Messages to the steward that may wait while the link is busy.
@@ -79,10 +80,11 @@
         Self { shared, outbox }
     }
 
-    /// Returns the newest view, or `None` before the first one arrives.
+    /// Returns the newest view, or `None` before an accepted bundle has arrived.
     #[must_use]
     pub fn view(&self) -> Option<Arc<View>> {
-        self.shared.view.load_full()
+        let view = self.shared.view.load_full()?;
+        (view.bundle.version > BundleVersion(0)).then_some(view)
     }
 
     /// Returns a receiver that changes with every new view.
@@ -154,7 +156,7 @@
 
     fn apply(&self, update: &ViewUpdate) {
         let old = self.view.load_full();
-        match merge(old.as_deref(), update) {
+        match merge::merge(old.as_deref(), update) {
             Ok(view) => {
                 self.view.store(Some(Arc::new(view)));
                 self.changes.send_modify(|count| *count += 1);
@@ -164,38 +166,6 @@
     }
 }
 
-/// Builds the next view from the last one and the parts that changed.
-fn merge(old: Option<&View>, update: &ViewUpdate) -> Result<View, serde_json::Error> {
-    let bundle = match (&update.bundle, old) {
-        (Some(json), _) => newer_bundle(serde_json::from_slice(json)?, old),
-        (None, Some(old)) => Arc::clone(&old.bundle),
-        (None, None) => Arc::default(),
-    };
-    let groups = match (&update.groups, old) {
-        (Some(json), _) => serde_json::from_slice(json)?,
-        (None, Some(old)) => old.groups.clone(),
-        (None, None) => BTreeMap::default(),
-    };
-    let vms = match (&update.vms, old) {
-        (Some(json), _) => serde_json::from_slice(json)?,
-        (None, Some(old)) => old.vms.clone(),
-        (None, None) => BTreeMap::default(),
-    };
-    Ok(View {
-        bundle,
-        groups,
-        vms,
-    })
-}
-
-/// Keeps the old bundle if the steward offers an older one, as it may after its own restart.
-fn newer_bundle(bundle: Bundle, old: Option<&View>) -> Arc<Bundle> {
-    match old {
-        Some(old) if old.bundle.version > bundle.version => Arc::clone(&old.bundle),
-        _ => Arc::new(bundle),
-    }
-}
-
 async fn keep_connected(
     address: String,
     hello: LocalHello,
--- a/crates/pool/src/upstream.rs
+++ b/crates/pool/src/upstream.rs
@@ -39,7 +39,6 @@
 pub(crate) use error::UpstreamError;
 pub(crate) use leased::Leased;
 pub(crate) use slots::Claim;
-pub(crate) use slots::Crowded;
 pub(crate) use slots::Slot;
 pub(crate) use slots::Slots;
 
--- a/crates/pool/src/upstream/slots.rs
+++ b/crates/pool/src/upstream/slots.rs
@@ -80,13 +80,6 @@
         })
     }
 
-    /// Changes the number of slots.
-    pub(super) fn resize(&self, slots: u32) {
-        let mut state = self.lock();
-        state.queue.resize(slots as usize);
-        state.dispatch();
-    }
-
     /// Waits for a slot.
     pub(crate) async fn acquire(self: &Arc<Self>, claim: Claim) -> Result<Slot, Crowded> {
         let deadline = claim.deadline;
