Check keys by SCRAM, follow withdrawals, bound callers and drain

Cause: keys came in clear text, a withdrawn key lived until the next statement, and callers' input, connections and the end of the process had no bounds. Conclusion: malformed, oversized and unfinished input ends its own connection at once.

--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -1,7 +1,10 @@
 //! Check of callers' keys against the verifiers of the bundle.
 
+mod scram;
 mod verifier;
 
+pub(crate) use scram::Exchange;
+pub(crate) use scram::MECHANISM;
 pub(crate) use verifier::Verifier;
 
 use mustardbay_policy::bundle::Account;
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,6 +1,7 @@
 //! What every session of the process shares.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -16,15 +17,16 @@
 use mustardbay_policy::view::View;
 use mustardbay_process::dialer::Dialer;
 use mustardbay_process::lifecycle::Lifecycle;
+use tokio_rustls::TlsAcceptor;
 
 use crate::groups::Groups;
 use crate::pools::PoolLink;
 use crate::pools::Pools;
 use crate::rates::Rates;
+use crate::sessions::Sessions;
 use crate::settings::EntrySettings;
 
 /// Shared state of one entry.
-#[derive(Debug)]
 pub(crate) struct Context {
     /// Settings of the process.
     pub settings: EntrySettings,
@@ -38,6 +40,12 @@
     pub groups: Groups,
     /// Tokens of accounts.
     pub rates: Rates,
+    /// Sessions that are open.
+    pub sessions: Sessions,
+    /// TLS towards callers, if a certificate is set.
+    pub tls: Option<TlsAcceptor>,
+    /// Secret of the process, for values that must not be guessed.
+    pub secret: [u8; 32],
     homes: Mutex<Homes>,
     budgets: Mutex<HashMap<AccountName, SharedBudget>>,
 }
@@ -52,9 +60,22 @@
     links: HashMap<(GroupName, UpstreamName), Arc<PoolLink>>,
 }
 
+impl fmt::Debug for Context {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Context")
+            .field("vm", &self.settings.vm)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Context {
     /// Creates the shared state.
-    pub fn new(settings: EntrySettings, steward: StewardLink, life: Lifecycle) -> Self {
+    pub fn new(
+        settings: EntrySettings,
+        tls: Option<TlsAcceptor>,
+        steward: StewardLink,
+        life: Lifecycle,
+    ) -> Self {
         let pools = Pools::new(Dialer::new(settings.source));
         Self {
             rates: Rates::new(steward.clone()),
@@ -63,6 +84,9 @@
             life,
             pools,
             groups: Groups::default(),
+            sessions: Sessions::default(),
+            tls,
+            secret: rand::random(),
             homes: Mutex::default(),
             budgets: Mutex::default(),
         }
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -8,6 +8,9 @@
 
 use crate::context::Context;
 
+/// Sessions that are listed one by one.
+const MAX_SESSIONS: usize = 200;
+
 /// Returns the state of the process.
 pub(crate) fn dump(ctx: &Context) -> Value {
     let view = ctx.steward.view();
@@ -19,12 +22,32 @@
         "bundle": view.as_ref().map(|v| v.bundle.version),
         "groups": view.as_ref().map(|v| &v.groups),
         "vms": view.as_ref().map(|v| &v.vms),
+        "sessions": ctx.sessions.count(),
+        "some_sessions": sessions(ctx),
         "links": links(ctx),
         "tokens": tokens(ctx),
         "positions": positions(ctx),
     })
 }
 
+fn sessions(ctx: &Context) -> Vec<Value> {
+    ctx.sessions
+        .some(MAX_SESSIONS)
+        .iter()
+        .map(|handle| {
+            let identity = handle.login.identity.as_ref();
+            json!({
+                "pid": handle.pid,
+                "route": handle.login.route,
+                "account": identity.map(|i| &i.account),
+                "key": identity.map(|i| &i.key),
+                "open_ms": handle.opened.elapsed().as_millis(),
+                "busy": handle.is_busy(),
+            })
+        })
+        .collect()
+}
+
 fn links(ctx: &Context) -> Vec<Value> {
     ctx.pools
         .all()
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -16,6 +16,8 @@
 use crate::dump::dump;
 use crate::listener;
 use crate::settings::EntrySettings;
+use crate::tls::TlsError;
+use crate::tls::acceptor;
 
 /// Failure to start an entry.
 #[derive(Debug, Error)]
@@ -23,6 +25,9 @@
     /// An address cannot be bound, or signals cannot be handled.
     #[error("cannot listen: {0}")]
     Io(#[from] std::io::Error),
+    /// Certificate or key cannot be used.
+    #[error("cannot set up TLS: {0}")]
+    Tls(#[from] TlsError),
     /// Metrics cannot be set up.
     #[error("cannot set up metrics: {0}")]
     Metrics(#[from] MetricsError),
@@ -42,12 +47,13 @@
     ///
     /// Fails if an address cannot be bound.
     pub async fn start(settings: EntrySettings, life: Lifecycle) -> Result<Self, StartError> {
+        let tls = settings.tls.as_ref().map(acceptor).transpose()?;
         let listener = TcpListener::bind(&settings.callers).await?;
         let callers = listener.local_addr()?;
         let metrics = Metrics::new()?;
         let steward = StewardLink::start(&*settings.steward, "entry", incarnation());
         let admin_address = settings.admin.clone();
-        let ctx = Arc::new(Context::new(settings, steward, life.clone()));
+        let ctx = Arc::new(Context::new(settings, tls, steward, life.clone()));
         let shown = Arc::clone(&ctx);
         let show = move || {
             let state = dump(&shown);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,9 +12,15 @@
 mod pools;
 mod rates;
 mod session;
+mod sessions;
 mod settings;
+mod tls;
 
 pub use cli::run;
 pub use entry::Entry;
 pub use entry::StartError;
+pub use settings::CallerLimits;
 pub use settings::EntrySettings;
+pub use settings::KeyExchange;
+pub use settings::TlsSettings;
+pub use tls::TlsError;
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -6,9 +6,13 @@
 use mustardbay_process::timer::Timer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
 
 use crate::context::Context;
 use crate::session;
+use crate::session::TurnAway;
 
 /// Pause after a failure to accept, such as no free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -17,20 +21,38 @@
 pub(crate) async fn serve(listener: TcpListener, ctx: Arc<Context>) {
     follow_views(&ctx);
     report_spending(&ctx);
+    let tasks = TaskTracker::new();
+    let accepting = accept_all(&listener, &ctx, &tasks);
+    tokio::select! {
+        () = accepting => {}
+        () = drained(&ctx, &tasks) => {}
+    }
+    tracing::info!(event = "entry_stopped", sessions = ctx.sessions.count());
+    ctx.life.stop();
+}
+
+/// Accepts connections; while draining they are told so.
+async fn accept_all(listener: &TcpListener, ctx: &Arc<Context>, tasks: &TaskTracker) {
+    let places = Arc::new(Semaphore::new(ctx.settings.limits.connections));
     loop {
-        let accepted = tokio::select! {
-            () = ctx.life.drained_from_now() => break,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => accept(stream, &ctx),
+        match listener.accept().await {
+            Ok((stream, _)) => accept(stream, ctx, &places, tasks),
             Err(e) => {
                 tracing::warn!(event = "accept_failed", error = %e);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
-    ctx.life.stop();
+}
+
+/// Waits until the process drains and every session has ended, or the bound has passed.
+async fn drained(ctx: &Arc<Context>, tasks: &TaskTracker) {
+    ctx.life.drained_from_now().await;
+    tasks.close();
+    let bound = Duration::from_millis(ctx.settings.limits.drain_ms);
+    if timeout(bound, tasks.wait()).await.is_err() {
+        tracing::warn!(event = "drain_timed_out", sessions = tasks.len());
+    }
 }
 
 /// Marks the process ready with the first view, and drops links to pools that left the view.
@@ -57,9 +79,24 @@
     tokio::spawn(async move { ctx.rates.keep_reporting(&Timer::new()).await });
 }
 
-fn accept(stream: TcpStream, ctx: &Arc<Context>) {
+fn accept(stream: TcpStream, ctx: &Arc<Context>, places: &Arc<Semaphore>, tasks: &TaskTracker) {
     if let Err(e) = stream.set_nodelay(true) {
         tracing::debug!(event = "nodelay_failed", error = %e);
     }
-    tokio::spawn(session::serve(stream, Arc::clone(ctx)));
+    let ctx = Arc::clone(ctx);
+    if ctx.life.is_draining() {
+        tokio::spawn(session::turn_away(stream, ctx, TurnAway::Draining));
+        return;
+    }
+    match Arc::clone(places).try_acquire_owned() {
+        Ok(place) => {
+            tasks.spawn(async move {
+                session::serve(stream, ctx).await;
+                drop(place);
+            });
+        }
+        Err(_) => {
+            tokio::spawn(session::turn_away(stream, ctx, TurnAway::Full));
+        }
+    }
 }
--- a/crates/entry/src/session/execute.rs
+++ b/crates/entry/src/session/execute.rs
@@ -417,6 +417,7 @@
             self.fail(target);
             return Ok((Ended::NotSent, false));
         };
+        self.handle.run(&target.link, number);
         let mut request = Request {
             link: &target.link,
             number,
@@ -427,7 +428,9 @@
         };
         let ended = request
             .stream(&mut self.caller, &mut self.answers, &self.sight)
-            .await?;
+            .await;
+        self.handle.rest();
+        let ended = ended?;
         match &ended {
             Ended::Finished(_) => {
                 batch.settle(request.parsed, &mut self.statements);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::VmName;
@@ -28,11 +29,41 @@
     /// Source address of connections to pools; the system chooses one if it is absent.
     #[serde(default)]
     pub source: Option<IpAddr>,
+    /// How callers present their keys.
+    #[serde(default)]
+    pub keys: KeyExchange,
+    /// Whether a key in clear text is accepted without TLS.
+    #[serde(default)]
+    pub clear_keys: bool,
+    /// Certificate for TLS towards callers; without it TLS is refused.
+    #[serde(default)]
+    pub tls: Option<TlsSettings>,
     /// Bounds on what callers may hold.
     #[serde(default)]
     pub limits: CallerLimits,
 }
 
+/// How callers present their keys.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum KeyExchange {
+    /// SCRAM-SHA-256: the key never leaves the caller.
+    #[default]
+    Scram,
+    /// Clear text, over TLS unless `clear_keys` is set.
+    Cleartext,
+}
+
+/// Certificate and private key, both in PEM files.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// File with the certificate chain.
+    pub certificate: PathBuf,
+    /// File with the private key.
+    pub key: PathBuf,
+}
+
 /// Bounds on what callers may hold of this process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -78,6 +109,13 @@
         check_address("callers", &self.callers)?;
         check_address("admin", &self.admin)?;
         check_address("steward", &self.steward)?;
+        if self.keys == KeyExchange::Cleartext && self.tls.is_none() && !self.clear_keys {
+            return Err(BadValue::new(
+                "keys",
+                "cleartext",
+                "scram, or cleartext with tls or clear_keys",
+            ));
+        }
         self.limits.check()
     }
 }
--- a/crates/entry/tests/entry/bed.rs
+++ b/crates/entry/tests/entry/bed.rs
@@ -35,6 +35,8 @@
 
 /// Key of the account `klar`.
 pub const KEY: &str = "correct horse";
+/// Salt of the account's verifiers.
+pub const SALT: &[u8] = b"salt of klar";
 /// Account with a key.
 pub const ACCOUNT: &str = "klar";
 /// Route that needs the key.
@@ -47,6 +49,7 @@
 /// Entry with its fakes.
 pub struct Bed {
     pub entry: Entry,
+    pub life: Lifecycle,
     pub steward: FakeSteward,
     pub pool: FakePool,
 }
@@ -68,6 +71,7 @@
         eventually(|| life.is_healthy()).await;
         Self {
             entry,
+            life,
             steward,
             pool,
         }
@@ -184,7 +188,7 @@
             name: ACCOUNT.into(),
             keys: vec![KeyVerifier {
                 id: "k1".into(),
-                verifier: verifier(KEY, b"salt of klar"),
+                verifier: verifier(KEY, SALT),
             }],
             rate: 100.0,
             burst: 100.0,
--- a/crates/entry/tests/entry/startup.rs
+++ b/crates/entry/tests/entry/startup.rs
@@ -1,5 +1,7 @@
 //! Start-up: keys, routes and what the pool gets to see of them.
 
+use mustardbay_entry::KeyExchange;
+use mustardbay_policy::bundle::KeyVerifier;
 use test_case::test_case;
 
 use crate::bed::ACCOUNT;
@@ -7,10 +9,13 @@
 use crate::bed::KEY;
 use crate::bed::OPEN_ROUTE;
 use crate::bed::ROUTE;
+use crate::bed::SALT;
 use crate::bed::connect;
 use crate::bed::edit;
+use crate::bed::eventually;
 use crate::bed::refused;
 use crate::bed::value;
+use crate::bed::verifier;
 
 #[test_case(ACCOUNT, "wrong", ROUTE, "28P01"; "wrong key")]
 #[test_case("nobody", KEY, ROUTE, "28P01"; "unknown account")]
@@ -54,13 +59,68 @@
     value(&client, "SELECT 1").await.unwrap();
     bed.steward
         .change(|view| edit(view, |bundle| bundle.accounts[0].keys.clear()));
-    let mut code = String::new();
-    while code.is_empty() {
-        if let Err(e) = client.simple_query("SELECT 1").await {
-            code = e.code().map_or("closed", |c| c.code()).to_owned();
-        }
-    }
-    assert_eq!(code, "28P01");
+    eventually(|| client.is_closed()).await;
+    assert_eq!(refused(connect(&bed.config()).await).0, "28P01");
+}
+
+#[tokio::test]
+async fn withdrawn_key_ends_the_transaction() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    client.batch_execute("BEGIN").await.unwrap();
+    let session = bed.pool.log()[0].session;
+    bed.steward
+        .change(|view| edit(view, |bundle| bundle.accounts[0].keys.clear()));
+    eventually(|| bed.pool.releases() == [session]).await;
+}
+
+#[tokio::test]
+async fn closed_route_ends_its_sessions() {
+    let bed = Bed::start().await;
+    let mut config = bed.config();
+    config.dbname(OPEN_ROUTE);
+    let client = connect(&config).await.unwrap();
+    bed.steward
+        .change(|view| edit(view, |bundle| bundle.routes[1].open = false));
+    eventually(|| client.is_closed()).await;
+}
+
+#[tokio::test]
+async fn second_key_of_an_account_is_accepted() {
+    let bed = Bed::start().await;
+    bed.steward.change(|view| {
+        edit(view, |bundle| {
+            bundle.accounts[0].keys.push(KeyVerifier {
+                id: "k2".into(),
+                verifier: verifier("second", SALT),
+            });
+        });
+    });
+    let mut config = bed.config();
+    config.password("second");
+    while connect(&config).await.is_err() {}
+    config.password(KEY);
+    assert!(connect(&config).await.is_ok());
+}
+
+#[test_case(KEY, true; "right key")]
+#[test_case("wrong", false; "wrong key")]
+#[tokio::test]
+async fn cleartext_when_allowed(key: &str, accepted: bool) {
+    let bed = Bed::start_with(|s| {
+        s.keys = KeyExchange::Cleartext;
+        s.clear_keys = true;
+    })
+    .await;
+    let mut config = bed.config();
+    config.password(key);
+    assert_eq!(connect(&config).await.is_ok(), accepted);
+}
+
+#[tokio::test]
+async fn cleartext_refused_without_tls() {
+    let bed = Bed::start_with(|s| s.keys = KeyExchange::Cleartext).await;
+    assert_eq!(refused(connect(&bed.config()).await).0, "28P01");
 }
 
 /// Fetches a page of the admin endpoint with a bare HTTP request.
--- /dev/null
+++ b/crates/entry/tests/entry/wire.rs
@@ -0,0 +1,126 @@
+//! Bytes of callers that are wrong, too many or too few.
+
+use std::time::Duration;
+
+use test_case::test_case;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::bed::Bed;
+use crate::bed::OPEN_ROUTE;
+use crate::bed::connect;
+use crate::bed::eventually;
+use crate::bed::refused;
+use crate::bed::value;
+
+/// Returns a start-up message for the open route.
+fn startup() -> Vec<u8> {
+    let mut body = 196_608_u32.to_be_bytes().to_vec();
+    for text in ["user", "x", "database", OPEN_ROUTE] {
+        body.extend_from_slice(text.as_bytes());
+        body.push(0);
+    }
+    body.push(0);
+    let mut packet = u32::try_from(body.len() + 4)
+        .unwrap()
+        .to_be_bytes()
+        .to_vec();
+    packet.extend_from_slice(&body);
+    packet
+}
+
+/// Sends bytes and returns everything up to the end of the connection.
+async fn exchange(bed: &Bed, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(bed.entry.callers()).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    // The reset of a connection with unread input is an end as well.
+    match stream.read_to_end(&mut answer).await {
+        Ok(_) | Err(_) => answer,
+    }
+}
+
+fn holds(answer: &[u8], text: &str) -> bool {
+    answer.windows(text.len()).any(|w| w == text.as_bytes())
+}
+
+#[test_case(&[0, 0, 0, 4]; "packet without a code")]
+#[test_case(&[0, 0, 0, 9, 0, 7, 0, 0, 0]; "other major version")]
+#[test_case(&[0x7f, 0xff, 0xff, 0xff, 0, 3, 0, 0]; "oversized start-up")]
+#[test_case(b"GET / HTTP/1.1\r\n\r\n"; "other protocol")]
+#[tokio::test]
+async fn startup_malformed_ends_the_connection(bytes: &[u8]) {
+    let bed = Bed::start().await;
+    exchange(&bed, bytes).await;
+}
+
+#[test_case(&[b'P', 0, 0, 0, 5, 0]; "parse cut short")]
+#[test_case(&[b'B', 0, 0, 0, 8, 0, 0, 0xff, 0xff]; "bind with a false count")]
+#[test_case(&[b'E', 0, 0, 0, 4]; "execute without a body")]
+#[test_case(&[b'Q', 0, 0, 0, 3]; "length below its own size")]
+#[test_case(&[b'?', 0, 0, 0, 4]; "unknown type")]
+#[test_case(&[b'Q', 0x7f, 0xff, 0xff, 0xff, 0]; "oversized query")]
+#[tokio::test]
+async fn message_malformed_is_refused(message: &[u8]) {
+    let bed = Bed::start().await;
+    let mut bytes = startup();
+    bytes.extend_from_slice(message);
+    assert!(holds(&exchange(&bed, &bytes).await, "08P01"));
+    assert!(bed.pool.log().is_empty());
+}
+
+#[tokio::test]
+async fn startup_unfinished_is_closed() {
+    let bed = Bed::start_with(|s| s.limits.startup_ms = 20).await;
+    assert!(exchange(&bed, &startup()[..10]).await.is_empty());
+}
+
+#[tokio::test]
+async fn encryption_refused_without_certificate() {
+    let bed = Bed::start().await;
+    let mut stream = TcpStream::connect(bed.entry.callers()).await.unwrap();
+    for code in [80_877_104_u32, 80_877_103] {
+        stream.write_all(&8_u32.to_be_bytes()).await.unwrap();
+        stream.write_all(&code.to_be_bytes()).await.unwrap();
+        assert_eq!(stream.read_u8().await.unwrap(), b'N');
+    }
+    stream.write_all(&startup()).await.unwrap();
+    assert_eq!(stream.read_u8().await.unwrap(), b'R');
+}
+
+#[tokio::test]
+async fn connections_beyond_the_limit_are_refused() {
+    let bed = Bed::start_with(|s| s.limits.connections = 1).await;
+    let client = bed.client().await;
+    assert_eq!(refused(connect(&bed.config()).await).0, "53300");
+    drop(client);
+    while connect(&bed.config()).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+#[tokio::test]
+async fn cancel_reaches_the_pool() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    bed.pool.will(crate::fake_pool::Act::Hang);
+    let token = client.cancel_token();
+    let running =
+        tokio::spawn(async move { client.batch_execute("INSERT INTO t VALUES (1)").await });
+    eventually(|| !bed.pool.log().is_empty()).await;
+    token.cancel_query(tokio_postgres::NoTls).await.unwrap();
+    eventually(|| !bed.pool.cancels().is_empty()).await;
+    running.abort();
+}
+
+#[tokio::test]
+async fn copy_is_refused() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    assert_eq!(
+        refused(client.batch_execute("COPY t TO STDOUT").await).0,
+        "0A000"
+    );
+    assert_ne!(value(&client, "SELECT 1").await.unwrap(), "");
+}
