Measure statements, refusals, retries and latency

Cause: the entry showed no metrics. Conclusion: the share of reads on replicas can be read from the statements counter.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -17,9 +17,11 @@
 use mustardbay_policy::view::View;
 use mustardbay_process::dialer::Dialer;
 use mustardbay_process::lifecycle::Lifecycle;
+use opentelemetry::metrics::Meter;
 use tokio_rustls::TlsAcceptor;
 
 use crate::groups::Groups;
+use crate::meters::Meters;
 use crate::pools::PoolLink;
 use crate::pools::Pools;
 use crate::rates::Rates;
@@ -41,7 +43,9 @@
     /// Tokens of accounts.
     pub rates: Rates,
     /// Sessions that are open.
-    pub sessions: Sessions,
+    pub sessions: Arc<Sessions>,
+    /// Metrics.
+    pub meters: Meters,
     /// TLS towards callers, if a certificate is set.
     pub tls: Option<TlsAcceptor>,
     /// Secret of the process, for values that must not be guessed.
@@ -75,7 +79,9 @@
         tls: Option<TlsAcceptor>,
         steward: StewardLink,
         life: Lifecycle,
+        meter: &Meter,
     ) -> Self {
+        let sessions = Arc::<Sessions>::default();
         let pools = Pools::new(Dialer::new(settings.source));
         Self {
             rates: Rates::new(steward.clone()),
@@ -84,7 +90,8 @@
             life,
             pools,
             groups: Groups::default(),
-            sessions: Sessions::default(),
+            meters: Meters::new(meter, &sessions),
+            sessions,
             tls,
             secret: rand::random(),
             homes: Mutex::default(),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -53,7 +53,13 @@
         let metrics = Metrics::new()?;
         let steward = StewardLink::start(&*settings.steward, "entry", incarnation());
         let admin_address = settings.admin.clone();
-        let ctx = Arc::new(Context::new(settings, tls, steward, life.clone()));
+        let ctx = Arc::new(Context::new(
+            settings,
+            tls,
+            steward,
+            life.clone(),
+            &metrics.meter(),
+        ));
         let shown = Arc::clone(&ctx);
         let show = move || {
             let state = dump(&shown);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod groups;
 mod listener;
+mod meters;
 mod pools;
 mod rates;
 mod session;
--- /dev/null
+++ b/crates/entry/src/meters.rs
@@ -0,0 +1,108 @@
+//! Metrics of the entry.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardbay_policy::refusal::Reason;
+use mustardbay_policy::statement::Access;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+
+use crate::sessions::Sessions;
+
+/// Upper bounds of the latency histogram's buckets, in seconds.
+const LATENCY_BOUNDS: &[f64] = &[
+    0.000_25, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
+];
+
+/// Kind of upstream that served a batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Served {
+    /// The primary.
+    Primary,
+    /// A replica.
+    Replica,
+    /// The upstream that holds the session's transaction.
+    Transaction,
+}
+
+impl Served {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Primary => "primary",
+            Self::Replica => "replica",
+            Self::Transaction => "transaction",
+        }
+    }
+}
+
+/// Instruments of the entry.
+#[derive(Debug)]
+pub(crate) struct Meters {
+    statements: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    latency: Histogram<f64>,
+}
+
+impl Meters {
+    /// Creates the instruments; the number of sessions is read when metrics are shown.
+    pub fn new(meter: &Meter, sessions: &Arc<Sessions>) -> Self {
+        let open = Arc::clone(sessions);
+        meter
+            .u64_observable_gauge("mustardbay_entry_sessions")
+            .with_description("Open sessions of callers")
+            .with_callback(move |gauge| gauge.observe(open.count() as u64, &[]))
+            .build();
+        Self {
+            statements: meter
+                .u64_counter("mustardbay_entry_statements")
+                .with_description("Batches that were answered, by class and kind of upstream")
+                .build(),
+            refusals: meter
+                .u64_counter("mustardbay_entry_refusals")
+                .with_description("Batches that were refused, by reason")
+                .build(),
+            retries: meter
+                .u64_counter("mustardbay_entry_retries")
+                .with_description("Attempts after the first one")
+                .build(),
+            latency: meter
+                .f64_histogram("mustardbay_entry_latency")
+                .with_description("Time from a whole batch to its whole answer")
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+        }
+    }
+
+    /// Counts a batch that was answered.
+    pub fn answered(&self, access: Access, served: Served, took: Duration) {
+        let labels = [
+            KeyValue::new("class", access.label()),
+            KeyValue::new("target", served.label()),
+        ];
+        self.statements.add(1, &labels);
+        self.latency.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Counts a batch that was refused.
+    pub fn refused(&self, reason: Reason) {
+        self.refusals
+            .add(1, &[KeyValue::new("reason", reason_label(reason))]);
+    }
+
+    /// Counts an attempt after the first one.
+    pub fn retried(&self) {
+        self.retries.add(1, &[]);
+    }
+}
+
+fn reason_label(reason: Reason) -> String {
+    match serde_json::to_value(reason) {
+        Ok(serde_json::Value::String(name)) => name,
+        _ => String::new(),
+    }
+}
--- a/crates/entry/src/session/execute.rs
+++ b/crates/entry/src/session/execute.rs
@@ -39,6 +39,7 @@
 use crate::caller::parameter;
 use crate::caller::ready;
 use crate::caller::refusal;
+use crate::meters::Served;
 use crate::pools::PoolLink;
 use crate::session::End;
 use crate::session::Session;
@@ -72,6 +73,16 @@
     primary: bool,
 }
 
+impl Target {
+    fn served(&self) -> Served {
+        if self.primary {
+            Served::Primary
+        } else {
+            Served::Replica
+        }
+    }
+}
+
 /// Attempts of one batch.
 #[derive(Debug)]
 struct Tries {
@@ -108,7 +119,7 @@
 #[derive(Debug)]
 enum Outcome {
     /// The answer is whole.
-    Finished,
+    Finished(Served),
     /// It is refused.
     Refused(Refusal),
 }
@@ -116,6 +127,7 @@
 impl<S: Transport> Session<S> {
     /// Runs a batch and ends its answer.
     pub(super) async fn execute(&mut self, mut batch: Batch) -> Result<(), End> {
+        let began = Instant::now();
         if let Err(refused) = self.check_grant() {
             return Err(End::Refused(refused));
         }
@@ -147,7 +159,13 @@
             _ => self.run_idle(&mut batch).await?,
         };
         match outcome {
-            Outcome::Finished => self.finish_answer().await,
+            Outcome::Finished(served) => {
+                self.finish_answer().await?;
+                self.ctx
+                    .meters
+                    .answered(batch.access(), served, began.elapsed());
+                Ok(())
+            }
             Outcome::Refused(refused) => self.end_refused(&refused).await,
         }
     }
@@ -175,6 +193,7 @@
 
     /// Refuses a batch; an open transaction is rolled back, as after any error.
     pub(super) async fn end_refused(&mut self, refused: &Refusal) -> Result<(), End> {
+        self.ctx.meters.refused(refused.reason);
         if let Transaction::Held(held) = &self.transaction {
             held.link.release(self.id);
             self.transaction = Transaction::Failed;
@@ -264,7 +283,7 @@
         Ok(match ended {
             Ended::Finished(done) => {
                 self.enter(&done, &target);
-                Outcome::Finished
+                Outcome::Finished(Served::Transaction)
             }
             Ended::Refused(refused) => Outcome::Refused(refused),
             Ended::NotSent => Outcome::Refused(not_sent()),
@@ -292,7 +311,7 @@
             let refused = match ended {
                 Ended::Finished(done) => {
                     self.enter(&done, &target);
-                    return Ok(Outcome::Finished);
+                    return Ok(Outcome::Finished(target.served()));
                 }
                 Ended::Refused(refused) => refused,
                 Ended::NotSent => not_sent(),
@@ -315,6 +334,7 @@
             if !again || Instant::now() >= deadline {
                 return Ok(Outcome::Refused(tries.last_word(refused)));
             }
+            self.ctx.meters.retried();
         }
     }
 
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod fake_pool;
 mod fake_steward;
+mod metrics;
 mod rates;
 mod routing;
 mod startup;
--- a/crates/entry/tests/entry/startup.rs
+++ b/crates/entry/tests/entry/startup.rs
@@ -100,7 +100,7 @@
     config.password("second");
     while connect(&config).await.is_err() {}
     config.password(KEY);
-    assert!(connect(&config).await.is_ok());
+    connect(&config).await.unwrap();
 }
 
 #[test_case(KEY, true; "right key")]
