--- a/crates/policy/src/group/monitor.rs
+++ b/crates/policy/src/group/monitor.rs
@@ -39,9 +39,12 @@
     contact: Duration,
     quiet_until: Duration,
     unfinished: u32,
+    unanswered: u32,
     last_nonce: u64,
     probes: BTreeMap<UpstreamName, Duration>,
     probing: BTreeSet<UpstreamName>,
+    /// Upstreams that a step of the record's term is under way on.
+    repairing: BTreeSet<UpstreamName>,
 }
 
 /// What the monitor is doing.
@@ -83,9 +86,11 @@
             contact: now,
             quiet_until: now,
             unfinished: 0,
+            unanswered: 0,
             last_nonce: 0,
             probes: BTreeMap::new(),
             probing: BTreeSet::new(),
+            repairing: BTreeSet::new(),
         }
     }
 
@@ -142,7 +147,10 @@
             Event::Opinion { vm, term, silent } => {
                 self.hear_opinion(vm, term, silent, now, &mut out);
             }
-            Event::Swapped(recorded) => self.adopt(recorded, now, &mut out),
+            Event::Swapped(recorded) => {
+                self.unanswered = 0;
+                self.adopt(recorded, now, &mut out);
+            }
             Event::SwapLost(recorded) => self.lose_swap(recorded, now, &mut out),
             Event::SwapUnknown => self.doubt_swap(now, &mut out),
             Event::Fenced(upstream, term, received) => {
@@ -150,10 +158,11 @@
             }
             Event::FenceFailed(upstream, term) => self.fence_failed(upstream, term),
             Event::Promoted(upstream, term) => self.promoted(&upstream, term, now, &mut out),
-            Event::PromoteFailed(_, term) | Event::FollowFailed(_, term) => {
-                self.step_failed(term, &mut out);
+            Event::PromoteFailed(upstream, term) | Event::FollowFailed(upstream, term) => {
+                self.step_failed(&upstream, term, &mut out);
             }
-            Event::Tick | Event::Followed(..) => {}
+            Event::Followed(upstream, term) => self.repaired(&upstream, term),
+            Event::Tick => {}
         }
         if self.duty.is_some() {
             self.advance(now, &mut out);
@@ -194,13 +203,14 @@
             }
         }
         self.probes.clear();
+        self.repairing.clear();
         self.record_at = now;
         self.record = Some(recorded.clone());
         out.push(Command::Announce(recorded.clone()));
         if recorded.record.proposer == self.me
             && let Some(primary) = recorded.record.primary
         {
-            out.push(Command::Fence(primary, recorded.record.term));
+            self.repair(&primary, &primary, recorded.record.term, out);
         }
     }
 
--- a/crates/policy/src/group/monitor/election.rs
+++ b/crates/policy/src/group/monitor/election.rs
@@ -15,6 +15,8 @@
 use crate::position::Position;
 use crate::position::Term;
 
+/// Doublings of the pause between swaps while the platform does not answer.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
 /// Doublings of the takeover time while elections keep failing.
 const MAX_TAKEOVER_DOUBLINGS: u32 = 3;
 
@@ -164,7 +166,8 @@
         if now >= *retry_at {
             *retry_at = now + self.bounds.retry;
             let missing = ballot.missing(&self.group);
-            out.extend(missing.map(|name| Command::Fence(name.clone(), term)));
+            let idle = missing.filter(|name| self.repairing.insert((*name).clone()));
+            out.extend(idle.map(|name| Command::Fence(name.clone(), term)));
         }
     }
 
@@ -199,6 +202,7 @@
         now: Duration,
         out: &mut Vec<Command>,
     ) {
+        self.unanswered = 0;
         self.leave_swap(now);
         match recorded {
             Some(recorded) => self.adopt(recorded, now, out),
@@ -208,13 +212,21 @@
 
     /// Reads the record back after a swap whose outcome is unknown.
     pub(super) fn doubt_swap(&mut self, now: Duration, out: &mut Vec<Command>) {
+        self.unanswered += 1;
         self.leave_swap(now);
         out.push(Command::Read);
     }
 
+    /// Returns the pause before the next swap; it grows while the platform does not answer.
+    fn swap_pause(&self) -> Duration {
+        let doublings = self.unanswered.saturating_sub(1).min(MAX_PAUSE_DOUBLINGS);
+        let spread = (self.bounds.retry / 4).saturating_mul(self.rank());
+        (self.bounds.retry * 2_u32.pow(doublings)).saturating_add(spread)
+    }
+
     /// Returns to the stage before the swap; an election keeps what it has fenced.
     fn leave_swap(&mut self, now: Duration) {
-        self.quiet_until = now + self.bounds.retry;
+        self.quiet_until = now.saturating_add(self.swap_pause());
         match &mut self.stage {
             Stage::Swapping(Some(ballot)) => {
                 self.stage = Stage::Electing {
@@ -245,6 +257,7 @@
             out.push(Command::Promote(upstream, term));
             return;
         }
+        self.repairing.remove(&upstream);
         if let Stage::Electing { ballot, .. } = &mut self.stage {
             ballot.fenced(upstream, received);
         }
@@ -252,6 +265,7 @@
 
     /// Notes an upstream that was not fenced.
     pub(super) fn fence_failed(&mut self, upstream: UpstreamName, term: Term) {
+        self.repaired(&upstream, term);
         let current = self.term() == Some(term);
         if let Stage::Electing { ballot, .. } = &mut self.stage
             && current
--- a/crates/policy/src/group/monitor/upkeep.rs
+++ b/crates/policy/src/group/monitor/upkeep.rs
@@ -70,14 +70,42 @@
         if upstream == primary {
             if current && sighting.role == Role::Primary {
                 self.contact = now;
-            } else if self.drives(now) {
-                out.push(Command::Fence(upstream.clone(), term));
+                return;
             }
-        } else if !(current && sighting.role == Role::Replica) && self.drives(now) {
+        } else if current && sighting.role == Role::Replica {
+            return;
+        }
+        if self.drives(now) {
+            let primary = primary.clone();
+            self.repair(upstream, &primary, term, out);
+        }
+    }
+
+    /// Promotes the primary or has another upstream follow it, one step at a time for each.
+    pub(super) fn repair(
+        &mut self,
+        upstream: &UpstreamName,
+        primary: &UpstreamName,
+        term: Term,
+        out: &mut Vec<Command>,
+    ) {
+        if !self.repairing.insert(upstream.clone()) {
+            return;
+        }
+        if upstream == primary {
+            out.push(Command::Fence(upstream.clone(), term));
+        } else {
             out.push(Command::Follow(upstream.clone(), primary.clone(), term));
         }
     }
 
+    /// Notes the end of the step under way on an upstream.
+    pub(super) fn repaired(&mut self, upstream: &UpstreamName, term: Term) {
+        if self.term() == Some(term) {
+            self.repairing.remove(upstream);
+        }
+    }
+
     /// Has the other upstreams follow a primary that was promoted.
     pub(super) fn promoted(
         &mut self,
@@ -89,15 +117,24 @@
         if self.term() != Some(term) {
             return;
         }
+        self.repaired(upstream, term);
         self.contact = now;
-        let others = self.group.upstreams.iter().map(|other| &other.name);
-        for other in others.filter(|other| *other != upstream) {
-            out.push(Command::Follow(other.clone(), upstream.clone(), term));
+        let others = self.group.upstreams.iter().map(|other| other.name.clone());
+        for other in others.collect::<Vec<_>>() {
+            if other != *upstream {
+                self.repair(&other, upstream, term, out);
+            }
         }
     }
 
     /// Reads the record again after a refused step, since a newer one may be the reason.
-    pub(super) fn step_failed(&mut self, term: Term, out: &mut Vec<Command>) {
+    pub(super) fn step_failed(
+        &mut self,
+        upstream: &UpstreamName,
+        term: Term,
+        out: &mut Vec<Command>,
+    ) {
+        self.repaired(upstream, term);
         if self.term() == Some(term) && self.duty.is_some() {
             out.push(Command::Read);
         }
--- a/crates/steward/src/parts.rs
+++ b/crates/steward/src/parts.rs
@@ -37,6 +37,8 @@
 use crate::records::Records;
 use crate::settings::StewardSettings;
 
+/// Longest time for leaving.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time between saying that this steward leaves and its goodbye.
 const LEAVE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -114,6 +116,15 @@
 
     /// Says that this steward leaves, hands the rate shares back and says goodbye.
     pub(crate) async fn leave(&self) {
+        if tokio::time::timeout(LEAVE_TIMEOUT, self.hand_over())
+            .await
+            .is_err()
+        {
+            tracing::warn!(event = "leaving_unheard");
+        }
+    }
+
+    async fn hand_over(&self) {
         let said = self.peers.ask(peers::Leave { goodbye: false }).await;
         let handed = self.desk.ask(rate_desk::HandBack).await;
         tokio::time::sleep(LEAVE_PAUSE).await;
