Ask seeds at the start, and be ready once a bundle is in force

A virtual machine that starts while the platform is down has no list of the others; it asks the seeds of its settings and takes bundle, members and group records from whoever answers.

--- a/crates/policy/tests/group/world.rs
+++ b/crates/policy/tests/group/world.rs
@@ -229,7 +229,7 @@
             Some(received) => {
                 self.log(
                     name,
-                    format!("fences {upstream} at term {term}: {received}"),
+                    &format!("fences {upstream} at term {term}: {received}"),
                 );
                 Event::Fenced(upstream, term, received)
             }
@@ -260,7 +260,7 @@
         if reached && self.upstreams.follow(follower, source, term) {
             self.log(
                 name,
-                format!("has {upstream} follow {primary} at term {term}"),
+                &format!("has {upstream} follow {primary} at term {term}"),
             );
             Event::Followed(upstream, term)
         } else {
--- a/crates/steward/src/local.rs
+++ b/crates/steward/src/local.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use futures::SinkExt;
 use futures::StreamExt;
@@ -27,6 +28,8 @@
 use crate::rate_desk::RateDesk;
 use crate::rates::LinkId;
 
+/// Pause after a failure to accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Grants that may wait for a local program to read them.
 const OUTBOX_GRANTS: usize = 1024;
 
@@ -65,7 +68,7 @@
                 }
                 Err(e) => {
                     tracing::warn!(event = "local_accept_failed", error = %e);
-                    tokio::task::yield_now().await;
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
--- a/crates/steward/src/parts.rs
+++ b/crates/steward/src/parts.rs
@@ -1,5 +1,6 @@
 //! Actors of a steward and how they are wired.
 
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -57,7 +58,11 @@
 
 impl Parts {
     /// Starts every actor.
-    pub(crate) fn spawn(settings: &StewardSettings, platform: &Arc<dyn Platform>) -> Self {
+    pub(crate) fn spawn(
+        settings: &StewardSettings,
+        peers: SocketAddr,
+        platform: &Arc<dyn Platform>,
+    ) -> Self {
         let board = Arc::new(Board::default());
         let records = Arc::new(Records::default());
         let dialer = Dialer::new(settings.source);
@@ -85,7 +90,8 @@
         let desk = RateDesk::spawn(desk);
         let peers = Peers::spawn(PeersArgs {
             vm: settings.vm.clone(),
-            state: own_state(settings, incarnation),
+            state: own_state(settings, peers, incarnation),
+            seeds: settings.seeds.clone(),
             targets: Targets {
                 board: Arc::clone(&board),
                 records,
@@ -172,13 +178,13 @@
     }
 }
 
-fn own_state(settings: &StewardSettings, incarnation: u64) -> VmState {
-    let advertised = settings.advertise.as_ref().unwrap_or(&settings.peers);
+fn own_state(settings: &StewardSettings, peers: SocketAddr, incarnation: u64) -> VmState {
+    let advertised = settings.advertise.clone();
     VmState {
         domain: settings.domain.clone(),
         incarnation,
         pool: settings.pool.clone(),
-        peer: advertised.clone(),
+        peer: advertised.unwrap_or_else(|| peers.to_string()),
         leaving: false,
     }
 }
--- a/crates/steward/src/peers.rs
+++ b/crates/steward/src/peers.rs
@@ -48,14 +48,17 @@
 
 /// Entries of one [`News`](mustardbay_wire::News) message.
 const NEWS_ENTRIES: usize = 200;
-/// Stewards contacted at each tick until the first one answers.
+/// Stewards contacted at once until the first one answers.
 const FIRST_CONTACTS: usize = 3;
+/// Time after the start in which others are contacted more often.
+const EAGER_START: Duration = Duration::from_secs(5);
 
 /// Actor that owns the membership and the links to other stewards.
 #[derive(Debug)]
 pub(crate) struct Peers {
     start: Instant,
     members: Members,
+    seeds: Vec<String>,
     targets: Targets,
     links: BTreeMap<VmName, Link>,
     next_link: u64,
@@ -85,6 +88,7 @@
     pub(crate) vm: VmName,
     pub(crate) state: VmState,
     pub(crate) targets: Targets,
+    pub(crate) seeds: Vec<String>,
     pub(crate) outgoing: mpsc::Receiver<Outgoing>,
 }
 
@@ -97,6 +101,7 @@
         let peers = Self {
             start: Instant::now(),
             members: Members::new(args.vm, args.state),
+            seeds: args.seeds,
             targets: args.targets,
             links: BTreeMap::new(),
             next_link: 0,
@@ -134,9 +139,12 @@
     }
 
     fn send(&mut self, vm: &VmName, body: Body) {
-        let Some(address) = self.members.address(vm).map(str::to_owned) else {
-            return;
-        };
+        if let Some(address) = self.members.address(vm).map(str::to_owned) {
+            self.send_to(vm, address, body);
+        }
+    }
+
+    fn send_to(&mut self, vm: &VmName, address: String, body: Body) {
         let message = self.message(body);
         self.sent_bytes += message.wire_bytes() as u64;
         self.sent_messages += 1;
@@ -170,15 +178,20 @@
     }
 
     fn beat(&mut self, vm: &VmName, vms: Vec<VmNews>, groups: Vec<GroupNews>) {
-        let heartbeat = Heartbeat {
-            regular: self.fan_out.contains(vm),
+        let regular = self.fan_out.contains(vm);
+        let heartbeat = self.heartbeat(regular, vms, groups);
+        self.send(vm, Body::Heartbeat(heartbeat));
+    }
+
+    fn heartbeat(&self, regular: bool, vms: Vec<VmNews>, groups: Vec<GroupNews>) -> Heartbeat {
+        Heartbeat {
+            regular,
             bundle_version: self.targets.board.version().0,
             vms_digest: self.members.digest().total(),
             groups_digest: self.targets.records.digest().total(),
             vms,
             groups,
-        };
-        self.send(vm, Body::Heartbeat(heartbeat));
+        }
     }
 
     /// Sends news at once to everyone who gets heartbeats, except to where it came from.
@@ -199,13 +212,35 @@
             self.spread(&news, &[], None);
             self.post();
         }
-        let alone = self.members.fan_out().is_empty();
-        if now < self.next_beat && !alone {
+        if self.members.fan_out().is_empty() {
+            self.seek_company(now);
+        } else if now >= self.next_beat {
+            self.next_beat = now + self.members.pace().heartbeat;
+            self.beat_regularly();
+            self.contact(1);
+        }
+    }
+
+    /// Contacts some of the listed stewards and of the seeds until one answers.
+    fn seek_company(&mut self, now: Duration) {
+        if now < self.next_beat {
             return;
         }
-        self.next_beat = now + self.members.pace().heartbeat;
-        self.beat_regularly();
-        self.contact(if alone { FIRST_CONTACTS } else { 1 });
+        let pace = self.members.pace().heartbeat;
+        let pause = if now < EAGER_START { pace / 4 } else { pace };
+        self.next_beat = now + pause.mul_f64(rand::random_range(0.5..1.5));
+        self.contact(FIRST_CONTACTS);
+        let mut rng = rand::rng();
+        let seeds: Vec<String> = self
+            .seeds
+            .sample(&mut rng, FIRST_CONTACTS)
+            .cloned()
+            .collect();
+        for seed in seeds {
+            let heartbeat = self.heartbeat(false, Vec::new(), Vec::new());
+            let vm = VmName::from(seed.as_str());
+            self.send_to(&vm, seed, Body::Heartbeat(heartbeat));
+        }
     }
 
     fn beat_regularly(&mut self) {
--- a/crates/steward/src/peers/accept.rs
+++ b/crates/steward/src/peers/accept.rs
@@ -1,6 +1,5 @@
 //! Incoming connections of other stewards.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -14,27 +13,24 @@
 use crate::peers::Peers;
 use crate::peers::Received;
 
+/// Pause after a failure to accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Silence after which an incoming connection is closed.
 const SILENCE_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Accepts connections in the background and returns the address listened on.
-pub(crate) async fn accept(address: &str, peers: ActorRef<Peers>) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind(address).await?;
-    let bound = listener.local_addr()?;
-    tokio::spawn(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(read(stream, peers.clone()));
-                }
-                Err(e) => {
-                    tracing::warn!(event = "peer_accept_failed", error = %e);
-                    tokio::task::yield_now().await;
-                }
+/// Accepts connections until the process ends.
+pub(crate) async fn accept(listener: TcpListener, peers: ActorRef<Peers>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(read(stream, peers.clone()));
+            }
+            Err(e) => {
+                tracing::warn!(event = "peer_accept_failed", error = %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
-    });
-    Ok(bound)
+    }
 }
 
 async fn read(stream: TcpStream, peers: ActorRef<Peers>) {
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -27,6 +27,9 @@
     /// Address `ip:port` that other stewards are told, if it differs from `peers`.
     #[serde(default)]
     pub advertise: Option<String>,
+    /// Addresses `ip:port` of other stewards, asked at the start besides the platform's list.
+    #[serde(default)]
+    pub seeds: Vec<String>,
     /// Address `ip:port` where other virtual machines reach the local pool.
     pub pool: String,
     /// Address `ip:port` of the admin endpoint.
@@ -77,6 +80,9 @@
         if let Some(address) = &self.advertise {
             check_address("advertise", address)?;
         }
+        for address in &self.seeds {
+            check_address("seeds", address)?;
+        }
         if self.platform.is_empty() {
             return Err(BadValue::new(
                 "platform",
@@ -116,6 +122,9 @@
         override_from_env(&mut self.admin, "MUSTARDBAY_ADMIN");
         override_from_env(&mut self.login.user, "MUSTARDBAY_LOGIN_USER");
         override_from_env(&mut self.login.password, "MUSTARDBAY_LOGIN_PASSWORD");
+        if let Ok(addresses) = std::env::var("MUSTARDBAY_SEEDS") {
+            self.seeds = addresses.split(',').map(str::to_owned).collect();
+        }
         if let Ok(urls) = std::env::var("MUSTARDBAY_PLATFORM") {
             self.platform = urls.split(',').map(str::to_owned).collect();
         }
--- a/crates/steward/src/start.rs
+++ b/crates/steward/src/start.rs
@@ -16,6 +16,7 @@
 use mustardbay_process::metrics::MetricsError;
 use mustardbay_process::timer::Timer;
 use thiserror::Error;
+use tokio::net::TcpListener;
 
 use crate::board::Board;
 use crate::bundles;
@@ -66,6 +67,7 @@
     life: Lifecycle,
     timer: Timer,
     local: SocketAddr,
+    peers: SocketAddr,
     admin: SocketAddr,
     parts: Parts,
 }
@@ -89,6 +91,12 @@
         self.local
     }
 
+    /// Returns the address where other stewards connect.
+    #[must_use]
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
     /// Returns the address of the admin endpoint.
     #[must_use]
     pub fn admin(&self) -> SocketAddr {
@@ -111,7 +119,7 @@
 ///
 /// Fails if an address cannot be bound or a client cannot be set up.
 pub async fn start(settings: StewardSettings) -> Result<Running, StartError> {
-    let gateway = Gateway::with_source(settings.platform.clone(), settings.source)?;
+    let gateway = Gateway::new(settings.platform.clone(), settings.source)?;
     start_with(settings, Arc::new(gateway)).await
 }
 
@@ -127,10 +135,12 @@
     let life = Lifecycle::new();
     let timer = Timer::new();
     let metrics = Metrics::new()?;
-    let parts = Parts::spawn(&settings, &platform);
+    let listener = TcpListener::bind(&settings.peers).await;
+    let listener = bound("peers", &settings.peers, listener)?;
+    let peer_address = bound("peers", &settings.peers, listener.local_addr())?;
+    let parts = Parts::spawn(&settings, peer_address, &platform);
     let peers = &parts.peers;
-    let peer_address = accept(&settings.peers, peers.clone()).await;
-    let peer_address = bound("peers", &settings.peers, peer_address)?;
+    tokio::spawn(accept(listener, peers.clone()));
     let endpoint = Local::new(Arc::clone(&parts.board), parts.desk.clone());
     let local = endpoint.serve(&settings.local).await;
     let local = bound("local", &settings.local, local)?;
@@ -144,23 +154,31 @@
     drive(&timer, DIRECTORY_TICK, parts.directory.clone(), || {
         directory::Tick
     });
-    life.mark_ready();
+    tokio::spawn(mark_ready(life.clone(), Arc::clone(&parts.board)));
     let vm = &settings.vm;
     tracing::info!(event = "started", %vm, %local, peers = %peer_address, %admin);
     Ok(Running {
         life,
         timer,
         local,
+        peers: peer_address,
         admin,
         parts,
     })
 }
 
-fn bound(
-    key: &'static str,
-    address: &str,
-    result: std::io::Result<SocketAddr>,
-) -> Result<SocketAddr, StartError> {
+/// Marks the process ready once a bundle is in force.
+async fn mark_ready(life: Lifecycle, board: Arc<Board>) {
+    let mut posts = board.subscribe();
+    let first = posts
+        .wait_for(|posted| posted.view.bundle.version.0 > 0)
+        .await;
+    if first.is_ok() {
+        life.mark_ready();
+    }
+}
+
+fn bound<T>(key: &'static str, address: &str, result: std::io::Result<T>) -> Result<T, StartError> {
     result.map_err(|source| StartError::Bind {
         key,
         address: address.to_owned(),
