Measure both deployments under load and faults, and compare results

`compare` sets two results side by side.

Not run yet: the programs were not all there when this was written.

--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -4,6 +4,7 @@
 
 use crate::demo::DemoError;
 use crate::history::HistoryError;
+use crate::measure::MeasureError;
 
 /// Why a stand-in or a measurement could not do its work.
 #[derive(Debug, Error)]
@@ -31,6 +32,9 @@
     /// A history cannot be read or written.
     #[error(transparent)]
     History(#[from] HistoryError),
+    /// A measurement could not be made.
+    #[error(transparent)]
+    Measure(#[from] MeasureError),
     /// The demonstration could not go on.
     #[error(transparent)]
     Demo(#[from] DemoError),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what surrounds the proxy, and tools that put load on it and measure it.
 
 pub mod check;
+pub mod compare;
 pub mod demo;
 pub mod error;
 pub mod fleet;
@@ -10,6 +11,7 @@
 pub mod hop;
 pub mod http;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod relay;
 pub mod run;
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -6,12 +6,16 @@
 use mustardbay_process::exit::Exit;
 use mustardbay_process::logs;
 
+use crate::compare;
+use crate::compare::CompareArgs;
 use crate::demo;
 use crate::error::LabError;
 use crate::hop;
 use crate::hop::HopArgs;
 use crate::load;
 use crate::load::LoadArgs;
+use crate::measure;
+use crate::measure::MeasureArgs;
 use crate::platform;
 use crate::platform::Platform;
 use crate::relay;
@@ -35,6 +39,10 @@
     Demo(DemoArgs),
     /// Measures what an entry costs against a direct connection.
     Hop(HopArgs),
+    /// Measures both deployments under load and faults.
+    Measure(MeasureArgs),
+    /// Sets two results of `measure` side by side.
+    Compare(CompareArgs),
     /// Puts an open-loop load on entries.
     Load(LoadArgs),
     /// Runs a stand-in for the platform's key-value service.
@@ -71,6 +79,8 @@
     match command {
         Command::Demo(args) => return demonstrate(&args).await,
         Command::Hop(args) => hop::run(args).await?,
+        Command::Measure(args) => return Ok(measure::run(args).await?),
+        Command::Compare(args) => compare::run(&args)?,
         Command::Load(args) => load::run(args).await?,
         Command::Upstream(args) => {
             let upstream = Upstream::start(args.into()).await?;
