Give stewards seeds in the lab and show a program's last log lines

Cause: a vm that restarted while the platform was down knew no peer, and the tests' programs were older than their settings, which an error without the log did not tell. Change: settings list every peer as a seed; a fleet that does not start shows the log's end.

--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -143,20 +143,24 @@
         let vm: &VmPlan = &self.layout.vms[n];
         let ip = self.vm_ip(vm.name.as_str());
         let pool = format!("{ip}:{}", settings::ENTRIES);
-        let peer = format!("{ip}:{}", settings::PEERS);
+        let platform = self.reachable("platform", &self.platform_address());
         VmSettings {
             vm,
             ip,
             pool: self.reachable(&format!("pool.{}", vm.name), &pool),
-            peer: self.reachable(&format!("peer.{}", vm.name), &peer),
-            platform: format!(
-                "http://{}",
-                self.reachable("platform", &self.platform_address())
-            ),
+            peer: self.peer(vm),
+            seeds: self.layout.vms.iter().map(|vm| self.peer(vm)).collect(),
+            platform: format!("http://{platform}"),
             signer,
         }
     }
 
+    /// Returns the address where others reach the steward of a virtual machine.
+    fn peer(&self, vm: &VmPlan) -> String {
+        let target = format!("{}:{}", self.vm_ip(vm.name.as_str()), settings::PEERS);
+        self.reachable(&format!("peer.{}", vm.name), &target)
+    }
+
     fn plan_links(&self) -> Vec<Link> {
         if !self.layout.relays {
             return Vec::new();
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -25,6 +25,8 @@
 const START_BOUND: Duration = Duration::from_secs(30);
 /// Longest time until every process has drained at the end.
 const STOP_BOUND: Duration = Duration::from_secs(10);
+/// Lines of a log that an error shows.
+const LOG_TAIL_LINES: usize = 8;
 /// Pause between two looks at a process that is starting.
 const LOOK_PAUSE: Duration = Duration::from_millis(30);
 
@@ -38,7 +40,7 @@
     #[error(transparent)]
     Program(#[from] ProgramError),
     /// A process did not answer in time.
-    #[error("{name} is not ready at {url} after {after:?}; see its log in {logs}")]
+    #[error("{name} is not ready at {url} after {after:?}; its log ends with:\n{log}")]
     NotReady {
         /// Process that is missing.
         name: String,
@@ -46,8 +48,8 @@
         url: String,
         /// Time that was waited.
         after: Duration,
-        /// Directory of the logs.
-        logs: String,
+        /// Last lines of its log.
+        log: String,
     },
     /// The bundle or the list of virtual machines could not be stored.
     #[error(transparent)]
@@ -497,6 +499,14 @@
         Ok(())
     }
 
+    /// Returns the last lines that a program has logged.
+    fn log_tail(&self, name: &str) -> String {
+        let path = self.dir.path().join(format!("{name}.log"));
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().rev().take(LOG_TAIL_LINES).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join("\n")
+    }
+
     async fn wait_ready(&self, name: &str, url: &str) -> Result<(), FleetError> {
         let url = format!("{url}/healthz");
         let deadline = Instant::now() + START_BOUND;
@@ -511,7 +521,7 @@
             name: name.to_owned(),
             url,
             after: START_BOUND,
-            logs: self.dir.path().display().to_string(),
+            log: self.log_tail(name),
         })
     }
 }
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -33,6 +33,8 @@
     pub pool: String,
     /// Address where others reach its steward.
     pub peer: String,
+    /// Addresses of the stewards of all virtual machines.
+    pub seeds: Vec<String>,
     /// URL of the platform.
     pub platform: String,
     /// Public key that signs bundles, in hex.
@@ -66,10 +68,12 @@
     pub fn write_steward(&self, dir: &Path, layout: &Layout) -> std::io::Result<PathBuf> {
         let text = format!(
             "{}local: {ip}:{LOCAL}\npeers: {ip}:{PEERS}\nadmin: {ip}:{STEWARD_ADMIN}\n\
-             pool: {pool}\nplatform:\n  - {platform}\nsigners:\n  - {signer}\n{LOGIN}{extra}",
+             advertise: {peer}\npool: {pool}\nseeds:\n{seeds}platform:\n  - {platform}\nsigners:\n  - {signer}\n{LOGIN}{extra}",
             self.common(),
             ip = self.ip,
+            peer = self.peer,
             pool = self.pool,
+            seeds = self.seeds(),
             platform = self.platform,
             signer = self.signer,
             extra = layout.steward_settings,
@@ -77,6 +81,15 @@
         self.write(dir, "steward", &text)
     }
 
+    fn seeds(&self) -> String {
+        let lines: Vec<String> = self
+            .seeds
+            .iter()
+            .map(|seed| format!("  - {seed}\n"))
+            .collect();
+        lines.concat()
+    }
+
     fn common(&self) -> String {
         format!(
             "vm: {}\ndomain: {}\nsource: {}\n",
