Answer Flush and bound prepared statements

Cause: drivers that prepare with Flush waited for ever, and a session could keep any number of statements. Change: what was prepared is answered on Flush; a Flush inside an implicit transaction is refused, as a shared connection cannot wait for its rest; statements per session are bounded. Conclusion: raw message tests show the order of answers.

--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -121,6 +121,7 @@
     statements: Statements,
     transaction: Transaction,
     skipping: bool,
+    flushing: bool,
     answers_in: AnswerSender,
     answers: mpsc::UnboundedReceiver<(u64, Answer)>,
 }
@@ -262,6 +263,7 @@
             statements: Statements::new(),
             transaction: Transaction::Idle,
             skipping: false,
+            flushing: false,
             answers_in,
             answers,
         };
@@ -350,7 +352,17 @@
                 whole.sync()?;
                 return self.execute(whole).await;
             }
-            PgWireFrontendMessage::Parse(parse) => batch.parse(parse)?,
+            PgWireFrontendMessage::Flush(_) => return self.flush(batch).await,
+            PgWireFrontendMessage::Parse(parse) => {
+                let kept = self.statements.len() + batch.learned();
+                if kept >= self.ctx.settings.limits.statements {
+                    *batch = Batch::default();
+                    return self
+                        .skip("54000", "session has too many prepared statements")
+                        .await;
+                }
+                batch.parse(parse)?;
+            }
             PgWireFrontendMessage::Bind(bind) => batch.bind(bind, &self.statements)?,
             PgWireFrontendMessage::Describe(describe) => {
                 batch.describe(describe, &self.statements)?;
@@ -368,6 +380,26 @@
         Ok(())
     }
 
+    /// Answers what has been sent so far, without `ReadyForQuery`.
+    ///
+    /// A shared connection cannot wait for the rest of an implicit transaction, so what runs
+    /// statements is flushed only inside an explicit one.
+    async fn flush(&mut self, batch: &mut Batch) -> Result<(), End> {
+        let mut part = std::mem::take(batch);
+        if part.is_empty() {
+            return Ok(());
+        }
+        if !part.only_prepares() && !self.transaction.is_open() {
+            let message = "Flush after Bind outside a transaction is not supported";
+            return self.skip("0A000", message).await;
+        }
+        part.sync()?;
+        self.flushing = true;
+        let answered = self.execute(part).await;
+        self.flushing = false;
+        answered
+    }
+
     /// Refuses the rest of the messages up to the next `Sync`.
     async fn skip(&mut self, code: &str, message: &str) -> Result<(), End> {
         self.skipping = true;
--- a/crates/entry/src/session/answer.rs
+++ b/crates/entry/src/session/answer.rs
@@ -23,6 +23,8 @@
 const HEADER_BYTES: usize = 5;
 /// Type of a `ParseComplete` message.
 const PARSE_COMPLETE: u8 = b'1';
+/// Type of an `ErrorResponse` message.
+const ERROR_RESPONSE: u8 = b'E';
 
 /// How the answer to a request ended.
 #[derive(Debug)]
@@ -48,10 +50,12 @@
     pub number: u64,
     /// When the wait for its answer ends.
     pub until: Instant,
-    /// Whether statements were prepared, so that their acceptance must be counted.
-    pub counts_parses: bool,
+    /// Whether accepted statements and errors must be counted.
+    pub counts: bool,
     /// Statements that were accepted.
     pub parsed: usize,
+    /// Whether the answer holds an error.
+    pub failed: bool,
     /// Whether any part of the answer went to the caller.
     pub started: bool,
 }
@@ -102,8 +106,9 @@
         caller: &mut Caller<S>,
     ) -> Result<(), End> {
         let bytes = messages.len();
-        if self.counts_parses {
+        if self.counts {
             self.parsed += count(&messages, PARSE_COMPLETE);
+            self.failed |= count(&messages, ERROR_RESPONSE) > 0;
         }
         self.started = true;
         if let Err(e) = caller.feed(Outgoing::Encoded(messages)).await {
--- a/crates/entry/src/session/batch.rs
+++ b/crates/entry/src/session/batch.rs
@@ -212,6 +212,17 @@
         self.steps.is_empty() && !self.is_query
     }
 
+    /// Tells whether the batch only prepares, describes and closes, so that nothing runs.
+    pub fn only_prepares(&self) -> bool {
+        let runs = |step: &Step| {
+            matches!(
+                step,
+                Step::Bind | Step::DescribePortal(_) | Step::Execute(_)
+            )
+        };
+        !self.is_query && !self.steps.iter().any(runs)
+    }
+
     /// Returns the request id that came with a statement of the batch.
     pub fn request_id(&self) -> Option<&str> {
         self.request_id.as_deref()
--- a/crates/entry/src/session/execute.rs
+++ b/crates/entry/src/session/execute.rs
@@ -173,7 +173,9 @@
     /// Ends an answer: the session's token if it changed, then `ReadyForQuery`.
     pub(super) async fn finish_answer(&mut self) -> Result<(), End> {
         self.report_token().await?;
-        self.caller.feed(ready(self.transaction.status())).await?;
+        if !self.flushing {
+            self.caller.feed(ready(self.transaction.status())).await?;
+        }
         self.caller.flush().await?;
         Ok(())
     }
@@ -198,6 +200,7 @@
             held.link.release(self.id);
             self.transaction = Transaction::Failed;
         }
+        self.skipping = self.flushing;
         self.caller.feed(refusal(Severity::Error, refused)).await?;
         self.finish_answer().await
     }
@@ -442,8 +445,9 @@
             link: &target.link,
             number,
             until: deadline + ANSWER_GRACE,
-            counts_parses: batch.learned() > 0,
+            counts: batch.learned() > 0 || self.flushing,
             parsed: 0,
+            failed: false,
             started: false,
         };
         let ended = request
@@ -451,6 +455,7 @@
             .await;
         self.handle.rest();
         let ended = ended?;
+        self.skipping |= self.flushing && request.failed;
         match &ended {
             Ended::Finished(_) => {
                 batch.settle(request.parsed, &mut self.statements);
--- a/crates/entry/tests/entry/wire.rs
+++ b/crates/entry/tests/entry/wire.rs
@@ -100,6 +100,120 @@
     }
 }
 
+/// Returns the types of the messages up to the last one of type `last`.
+async fn types_until(stream: &mut TcpStream, last: u8) -> String {
+    let mut types = String::new();
+    loop {
+        let kind = stream.read_u8().await.unwrap();
+        let length = stream.read_u32().await.unwrap() as usize;
+        stream.read_exact(&mut vec![0; length - 4]).await.unwrap();
+        types.push(char::from(kind));
+        if kind == last {
+            return types;
+        }
+    }
+}
+
+/// Opens a session whose floor stays unknown, so that no token comes between the answers.
+async fn session(bed: &Bed) -> TcpStream {
+    bed.pool.hold_confirms(true);
+    let mut stream = TcpStream::connect(bed.entry.callers()).await.unwrap();
+    stream.write_all(&startup()).await.unwrap();
+    types_until(&mut stream, b'Z').await;
+    stream
+}
+
+const PARSE: &[u8] = b"P\0\0\0\x12s1\0SELECT 1\0\0\0";
+const PARSE_BROKEN: &[u8] = b"P\0\0\0\x11s1\0broken!\0\0\0";
+const DESCRIBE: &[u8] = b"D\0\0\0\x08Ss1\0";
+const BIND: &[u8] = b"B\0\0\0\x0e\0s1\0\0\0\0\0\0\0";
+const EXECUTE: &[u8] = b"E\0\0\0\x09\0\0\0\0\0";
+const FLUSH: &[u8] = b"H\0\0\0\x04";
+const SYNC: &[u8] = b"S\0\0\0\x04";
+
+#[tokio::test]
+async fn flush_answers_what_was_prepared() {
+    let bed = Bed::start().await;
+    let mut stream = session(&bed).await;
+    stream
+        .write_all(&[PARSE, DESCRIBE, FLUSH].concat())
+        .await
+        .unwrap();
+    assert_eq!(types_until(&mut stream, b'T').await, "1tT");
+    stream
+        .write_all(&[BIND, EXECUTE, SYNC].concat())
+        .await
+        .unwrap();
+    assert_eq!(types_until(&mut stream, b'Z').await, "2DCZ");
+}
+
+#[tokio::test]
+async fn flush_after_error_skips_to_sync() {
+    let bed = Bed::start().await;
+    let mut stream = session(&bed).await;
+    stream
+        .write_all(&[PARSE_BROKEN, FLUSH].concat())
+        .await
+        .unwrap();
+    assert_eq!(types_until(&mut stream, b'E').await, "E");
+    stream
+        .write_all(&[BIND, EXECUTE, SYNC].concat())
+        .await
+        .unwrap();
+    assert_eq!(types_until(&mut stream, b'Z').await, "Z");
+    assert_eq!(bed.pool.log().len(), 1);
+}
+
+#[tokio::test]
+async fn flush_of_an_implicit_transaction_is_refused() {
+    let bed = Bed::start().await;
+    let mut stream = session(&bed).await;
+    stream
+        .write_all(&[PARSE, BIND, EXECUTE, FLUSH, SYNC].concat())
+        .await
+        .unwrap();
+    assert_eq!(types_until(&mut stream, b'Z').await, "EZ");
+    assert!(bed.pool.log().is_empty());
+}
+
+#[tokio::test]
+async fn unnamed_statement_survives_sync() {
+    let bed = Bed::start().await;
+    let mut stream = session(&bed).await;
+    let parse = b"P\0\0\0\x10\0SELECT 1\0\0\0";
+    stream.write_all(&[parse, SYNC].concat()).await.unwrap();
+    assert_eq!(types_until(&mut stream, b'Z').await, "1Z");
+    let bind = b"B\0\0\0\x0c\0\0\0\0\0\0\0\0";
+    stream
+        .write_all(&[bind, EXECUTE, SYNC].concat())
+        .await
+        .unwrap();
+    assert_eq!(types_until(&mut stream, b'Z').await, "2DCZ");
+}
+
+#[tokio::test]
+async fn unnamed_statement_unknown_is_an_error() {
+    let bed = Bed::start().await;
+    let mut stream = session(&bed).await;
+    let bind = b"B\0\0\0\x0c\0\0\0\0\0\0\0\0";
+    stream
+        .write_all(&[bind, EXECUTE, SYNC].concat())
+        .await
+        .unwrap();
+    assert_eq!(types_until(&mut stream, b'Z').await, "EZ");
+}
+
+#[tokio::test]
+async fn prepared_statements_are_bounded() {
+    let bed = Bed::start_with(|s| s.limits.statements = 2).await;
+    let client = bed.client().await;
+    let first = client.prepare("SELECT 1").await.unwrap();
+    let _second = client.prepare("SELECT 2").await.unwrap();
+    assert_eq!(refused(client.prepare("SELECT 3").await).0, "54000");
+    drop(first);
+    client.prepare("SELECT 3").await.unwrap();
+}
+
 #[tokio::test]
 async fn cancel_reaches_the_pool() {
     let bed = Bed::start().await;
