Release a session whose request ended unseen, and test TLS

Cause: after a late BEGIN a pool could hold a transaction that the session did not know of, and the next statement would have joined it. Change: the session is released at the pool whenever the end of its request was not seen. Conclusion: shown with a pool that never answers; TLS, read-only transactions and session parameters have tests.

--- a/crates/entry/src/session/execute.rs
+++ b/crates/entry/src/session/execute.rs
@@ -454,6 +454,10 @@
             .stream(&mut self.caller, &mut self.answers, &self.sight)
             .await;
         self.handle.rest();
+        if matches!(ended, Err(_) | Ok(Ended::Late)) {
+            // The request may still open a transaction, which nobody would end.
+            target.link.release(self.id);
+        }
         let ended = ended?;
         self.skipping |= self.flushing && request.failed;
         match &ended {
--- a/crates/entry/tests/entry/bed.rs
+++ b/crates/entry/tests/entry/bed.rs
@@ -64,8 +64,10 @@
     pub async fn start_with(change: impl FnOnce(&mut EntrySettings)) -> Self {
         let pool = FakePool::start().await;
         let steward = FakeSteward::start(view(&pool)).await;
-        let mut settings = settings(&steward);
-        change(&mut settings);
+        let settings = settings_for_test(|settings| {
+            settings.steward = steward.address.to_string();
+            change(settings);
+        });
         let life = Lifecycle::new();
         let entry = Entry::start(settings, life.clone()).await.unwrap();
         eventually(|| life.is_healthy()).await;
@@ -163,15 +165,18 @@
     )
 }
 
-fn settings(steward: &FakeSteward) -> EntrySettings {
-    serde_json::from_value(serde_json::json!({
+/// Returns default settings with free ports, changed by `change`.
+pub fn settings_for_test(change: impl FnOnce(&mut EntrySettings)) -> EntrySettings {
+    let mut settings = serde_json::from_value(serde_json::json!({
         "vm": "vm1",
         "domain": "oslo-a",
         "callers": "127.0.0.1:0",
         "admin": "127.0.0.1:0",
-        "steward": steward.address.to_string(),
+        "steward": "127.0.0.1:1",
     }))
-    .unwrap()
+    .unwrap();
+    change(&mut settings);
+    settings
 }
 
 fn view(pool: &FakePool) -> View {
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -9,4 +9,5 @@
 mod routing;
 mod startup;
 mod statements;
+mod tls;
 mod wire;
--- a/crates/entry/tests/entry/statements.rs
+++ b/crates/entry/tests/entry/statements.rs
@@ -1,6 +1,7 @@
 //! Simple and extended queries, prepared statements and transactions over shared connections.
 
 use mustardbay_wire::Mode;
+use test_case::test_case;
 
 use crate::bed::Bed;
 use crate::bed::eventually;
@@ -122,3 +123,71 @@
     assert_eq!(refused(answer).0, "40003");
     eventually(|| bed.pool.cancels().len() == 1).await;
 }
+
+#[tokio::test]
+async fn transaction_that_may_still_open_is_released() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    client
+        .batch_execute("SET statement_timeout = 20")
+        .await
+        .unwrap();
+    bed.pool.will(Act::Hang);
+    assert_eq!(refused(client.batch_execute("BEGIN").await).0, "40003");
+    let session = bed.pool.log()[0].session;
+    eventually(|| bed.pool.releases() == [session]).await;
+}
+
+#[tokio::test]
+async fn transaction_read_only_runs_on_a_replica() {
+    let bed = Bed::start().await;
+    let mut client = bed.client_at("v1.g1.1:5").await;
+    let transaction = client
+        .build_transaction()
+        .read_only(true)
+        .start()
+        .await
+        .unwrap();
+    let rows = transaction.query("SELECT name FROM t", &[]).await.unwrap();
+    assert_eq!(rows[0].get::<_, &str>(0), "b");
+    transaction.commit().await.unwrap();
+    assert_eq!(modes(&bed)[0], Mode::BeginRead as i32);
+    assert!(bed.pool.upstreams().iter().all(|u| u == "b"));
+}
+
+#[tokio::test]
+async fn session_parameters_are_kept_here() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    for (sql, name, expected) in [
+        ("SET mustardbay.max_age = 250", "mustardbay.max_age", "250"),
+        ("SET extra_float_digits = 3", "extra_float_digits", "3"),
+        ("SET TIME ZONE 'Europe/Oslo'", "timezone", "Europe/Oslo"),
+        ("RESET extra_float_digits", "extra_float_digits", "1"),
+        (
+            "SET mustardbay.session = 'v1.g1.1:4'",
+            "mustardbay.session",
+            "v1.g1.1:4",
+        ),
+        ("DISCARD ALL", "mustardbay.max_age", ""),
+    ] {
+        client.batch_execute(sql).await.unwrap();
+        let shown = value(&client, &format!("SHOW {name}")).await.unwrap();
+        assert_eq!(shown, expected, "{sql}");
+    }
+    let row = client.query_one("SHOW timezone", &[]).await.unwrap();
+    assert_eq!(row.get::<_, &str>(0), "UTC");
+    assert!(bed.pool.log().is_empty());
+}
+
+#[test_case("SET search_path = other", "0A000"; "state of a connection")]
+#[test_case("SET client_encoding = 'LATIN1'", "22023"; "value that cannot be honoured")]
+#[test_case("SET application_name = 'x'; SELECT 1", "0A000"; "mixed batch")]
+#[test_case("PREPARE p AS SELECT 1", "0A000"; "prepare in text")]
+#[tokio::test]
+async fn session_state_refused(sql: &str, code: &str) {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    assert_eq!(refused(client.batch_execute(sql).await).0, code);
+    assert!(bed.pool.log().is_empty());
+}
