Remember the classes of statement texts

Change: a bounded memory of texts and their classes, shared by all sessions. Conclusion: repeated texts are classified once; the gain under load is not measured yet.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -20,6 +20,7 @@
 use opentelemetry::metrics::Meter;
 use tokio_rustls::TlsAcceptor;
 
+use crate::classes::Classes;
 use crate::groups::Groups;
 use crate::meters::Meters;
 use crate::pools::PoolLink;
@@ -44,6 +45,8 @@
     pub rates: Rates,
     /// Sessions that are open.
     pub sessions: Arc<Sessions>,
+    /// Classes of statement texts.
+    pub classes: Classes,
     /// Metrics.
     pub meters: Meters,
     /// TLS towards callers, if a certificate is set.
@@ -90,6 +93,7 @@
             life,
             pools,
             groups: Groups::default(),
+            classes: Classes::default(),
             meters: Meters::new(meter, &sessions),
             sessions,
             tls,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod auth;
 mod caller;
+mod classes;
 mod cli;
 mod confirm;
 mod context;
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -342,7 +342,7 @@
             _ if self.skipping => {}
             PgWireFrontendMessage::Query(query) => {
                 *batch = Batch::default();
-                return self.execute(Batch::query(&query)?).await;
+                return self.execute(Batch::query(&query, &self.ctx.classes)?).await;
             }
             PgWireFrontendMessage::Sync(_) => {
                 let mut whole = std::mem::take(batch);
@@ -361,7 +361,7 @@
                         .skip("54000", "session has too many prepared statements")
                         .await;
                 }
-                batch.parse(parse)?;
+                batch.parse(parse, &self.ctx.classes)?;
             }
             PgWireFrontendMessage::Bind(bind) => batch.bind(bind, &self.statements)?,
             PgWireFrontendMessage::Describe(describe) => {
--- a/crates/entry/src/session/batch.rs
+++ b/crates/entry/src/session/batch.rs
@@ -6,7 +6,6 @@
 use bytes::BytesMut;
 use mustardbay_policy::statement::Access;
 use mustardbay_policy::statement::StatementClass;
-use mustardbay_policy::statement::classify;
 use mustardbay_policy::statement::request_id;
 use pgwire::error::PgWireError;
 use pgwire::messages::Message;
@@ -19,6 +18,7 @@
 use pgwire::messages::extendedquery::TARGET_TYPE_BYTE_STATEMENT;
 use pgwire::messages::simplequery::Query;
 
+use crate::classes::Classes;
 use crate::session::prepared::Prepared;
 use crate::session::prepared::Statements;
 
@@ -67,13 +67,13 @@
     /// # Errors
     ///
     /// Fails if the message cannot be encoded.
-    pub fn query(query: &Query) -> Result<Self, PgWireError> {
+    pub fn query(query: &Query, classes: &Classes) -> Result<Self, PgWireError> {
         let mut batch = Self {
             is_query: true,
             request_id: request_id(&query.query).map(str::to_owned),
             ..Self::default()
         };
-        batch.run(&classify(&query.query));
+        batch.run(&classes.of(&query.query));
         query.encode(&mut batch.messages)?;
         Ok(batch)
     }
@@ -83,9 +83,9 @@
     /// # Errors
     ///
     /// Fails if the message cannot be encoded.
-    pub fn parse(&mut self, mut parse: Parse) -> Result<(), PgWireError> {
+    pub fn parse(&mut self, mut parse: Parse, classes: &Classes) -> Result<(), PgWireError> {
         let name = parse.name.take().unwrap_or_default();
-        let prepared = Prepared::new(parse);
+        let prepared = Prepared::new(parse, classes);
         prepared.unnamed_parse().encode(&mut self.messages)?;
         self.parses += 1;
         self.unnamed = Some(Arc::clone(&prepared));
--- a/crates/entry/src/session/prepared.rs
+++ b/crates/entry/src/session/prepared.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use mustardbay_policy::statement::StatementClass;
-use mustardbay_policy::statement::classify;
 use pgwire::messages::extendedquery::Parse;
 
+use crate::classes::Classes;
+
 /// Text of a prepared statement and what it does.
 #[derive(Debug)]
 pub(crate) struct Prepared {
@@ -15,14 +16,14 @@
     /// Types of the parameters, as far as the caller gave them.
     pub types: Vec<u32>,
     /// Classes of its statements.
-    pub classes: Vec<StatementClass>,
+    pub classes: Arc<[StatementClass]>,
 }
 
 impl Prepared {
     /// Takes over the statement of a `Parse` message.
-    pub fn new(parse: Parse) -> Arc<Self> {
+    pub fn new(parse: Parse, classes: &Classes) -> Arc<Self> {
         Arc::new(Self {
-            classes: classify(&parse.query),
+            classes: classes.of(&parse.query),
             text: parse.query,
             types: parse.type_oids,
         })
