Read without a token only after a replica confirmed the primary

Cause: a session without a token read from the primary at once. A primary that was replaced unawares, in a cut-off domain, would have answered it with old data. Change: such a read waits for the round of position reads that began after the session arrived, and is refused as not run when none succeeds. The session's files are split by concern. Conclusion: the first read of a session can go to a replica; without any replica, sessions without a token or a stated age read nothing.

--- a/crates/entry/src/confirm.rs
+++ b/crates/entry/src/confirm.rs
@@ -37,7 +37,9 @@
     let sight = ctx.groups.sight(&group);
     loop {
         let position = confirm(&ctx, &group).await;
-        if sight.lock().confirmations.end(position).is_none() {
+        let next = sight.lock().confirmations.end(position);
+        sight.confirmed.notify_waiters();
+        if next.is_none() {
             return;
         }
     }
--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -15,6 +15,7 @@
 use mustardbay_policy::route::Sighting;
 use mustardbay_policy::session::Confirmations;
 use mustardbay_wire::UpstreamPosition;
+use tokio::sync::Notify;
 
 /// Positions and load of one group's upstreams, as seen by this entry.
 #[derive(Debug, Default)]
@@ -39,6 +40,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct SharedSight {
     sight: Mutex<GroupSight>,
+    /// Wakes those who wait for a round of position reads.
+    pub confirmed: Notify,
 }
 
 impl SharedSight {
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -1,44 +1,40 @@
 //! Session of one caller, from its start-up to its end.
 
 mod answer;
+mod attempt;
 mod batch;
+mod connection;
 mod execute;
+mod failed;
+mod learn;
 mod local;
 mod login;
 mod parameters;
 mod prepared;
+mod run;
 mod startup;
 mod transaction;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use futures::SinkExt;
 use futures::StreamExt;
 use mustardbay_policy::names::AccountName;
-use mustardbay_policy::refusal::Reason;
 use mustardbay_policy::refusal::Refusal;
 use mustardbay_policy::session::Floor;
 use mustardbay_policy::session::Round;
-use mustardbay_policy::session::RoundState;
 use mustardbay_policy::session::SessionToken;
 use pgwire::error::PgWireError;
 use pgwire::messages::PgWireBackendMessage;
 use pgwire::messages::PgWireFrontendMessage;
-use pgwire::messages::cancel::CancelRequest;
 use pgwire::messages::startup::BackendKeyData;
 use pgwire::messages::startup::SecretKey;
-use pgwire::messages::startup::Startup;
 use thiserror::Error;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
-use tokio::time::timeout;
-use tokio::time::timeout_at;
 use tokio_util::codec::Framed;
 
 use crate::caller::CallerCodec;
@@ -47,7 +43,6 @@
 use crate::caller::error;
 use crate::caller::parameter;
 use crate::caller::refusal;
-use crate::confirm;
 use crate::context::Context;
 use crate::context::SharedBudget;
 use crate::groups::SharedSight;
@@ -58,17 +53,10 @@
 use crate::session::login::Grant;
 use crate::session::parameters::Parameters;
 use crate::session::prepared::Statements;
-use crate::session::startup::Opening;
 use crate::session::startup::Started;
-use crate::session::startup::StartupError;
-use crate::session::startup::negotiate;
-use crate::session::startup::start_up;
 use crate::session::transaction::Transaction;
 use crate::sessions::SessionHandle;
 
-/// Time in which a connection that is not served must ask for one and read the answer.
-const TURN_AWAY_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Number of the next session, unique over the life of the process.
 static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
 
@@ -77,6 +65,9 @@
 
 impl<T: AsyncRead + AsyncWrite + Unpin + Send> Transport for T {}
 
+pub(crate) use connection::TurnAway;
+pub(crate) use connection::serve;
+pub(crate) use connection::turn_away;
 pub(crate) use login::Login;
 
 /// Framed connection to a caller.
@@ -126,119 +117,8 @@
     answers: mpsc::UnboundedReceiver<(u64, Answer)>,
 }
 
-/// Why a connection is not served at all.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum TurnAway {
-    /// Every connection that is allowed is taken.
-    Full,
-    /// The process drains.
-    Draining,
-}
-
-/// Serves one connection until it ends.
-pub(crate) async fn serve(stream: TcpStream, ctx: Arc<Context>) {
-    let mut caller = Framed::new(stream, codec(&ctx));
-    let bound = Duration::from_millis(ctx.settings.limits.startup_ms);
-    let until = Instant::now() + bound;
-    let offers_tls = ctx.tls.is_some();
-    match timeout_at(until, negotiate(&mut caller, offers_tls)).await {
-        Ok(Ok(Opening::Startup(startup))) => start(caller, &startup, &ctx, false, until).await,
-        Ok(Ok(Opening::Tls)) => serve_tls(caller, &ctx, until).await,
-        Ok(Ok(Opening::Cancel(cancel))) => cancel_other(&ctx, &cancel),
-        Ok(Err(e)) => reject(caller, e).await,
-        Err(_) => tracing::debug!(event = "startup_timed_out"),
-    }
-}
-
-/// Tells a new connection that it is not served.
-pub(crate) async fn turn_away(stream: TcpStream, ctx: Arc<Context>, why: TurnAway) {
-    let mut caller = Framed::new(stream, codec(&ctx));
-    let opening = timeout(TURN_AWAY_TIMEOUT, negotiate(&mut caller, false)).await;
-    let last = match (opening, why) {
-        (Ok(Ok(Opening::Cancel(cancel))), _) => return cancel_other(&ctx, &cancel),
-        (Ok(Ok(_)), TurnAway::Full) => error(
-            Severity::Fatal,
-            "53300",
-            "too many connections at this entry",
-        ),
-        (Ok(Ok(_)), TurnAway::Draining) => refusal(Severity::Fatal, &draining()),
-        _ => return,
-    };
-    if let Ok(Err(e)) = timeout(TURN_AWAY_TIMEOUT, caller.send(last)).await {
-        tracing::debug!(event = "turn_away_unsent", error = %e);
-    }
-}
-
-fn codec(ctx: &Context) -> CallerCodec {
-    CallerCodec::new(ctx.settings.limits.message_bytes)
-}
-
-fn cancel_other(ctx: &Context, cancel: &CancelRequest) {
-    ctx.sessions.cancel(cancel.pid, cancel.secret_key.as_i32());
-}
-
-fn draining() -> Refusal {
-    Refusal::not_run(
-        Reason::Draining,
-        "entry is shutting down, connect again",
-        Some(Duration::ZERO),
-    )
-}
-
-/// Goes on over TLS after the caller was told to begin its handshake.
-async fn serve_tls(caller: Caller<TcpStream>, ctx: &Arc<Context>, until: Instant) {
-    let parts = caller.into_parts();
-    // Bytes sent ahead of the handshake would be taken for encrypted ones.
-    let Some(tls) = ctx.tls.as_ref().filter(|_| parts.read_buf.is_empty()) else {
-        return;
-    };
-    let stream = match timeout_at(until, tls.accept(parts.io)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return tracing::debug!(event = "tls_failed", error = %e),
-        Err(_) => return tracing::debug!(event = "startup_timed_out"),
-    };
-    let mut caller = Framed::new(stream, codec(ctx));
-    match timeout_at(until, negotiate(&mut caller, false)).await {
-        Ok(Ok(Opening::Startup(startup))) => start(caller, &startup, ctx, true, until).await,
-        Ok(Ok(Opening::Cancel(cancel))) => cancel_other(ctx, &cancel),
-        Ok(Err(e)) => reject(caller, e).await,
-        Ok(Ok(Opening::Tls)) | Err(_) => {}
-    }
-}
-
-/// Checks the key and runs the session.
-async fn start<S: Transport>(
-    mut caller: Caller<S>,
-    startup: &Startup,
-    ctx: &Arc<Context>,
-    is_secure: bool,
-    until: Instant,
-) {
-    let started = timeout_at(until, start_up(&mut caller, startup, ctx, is_secure)).await;
-    match started {
-        Ok(Ok(started)) => Session::open(caller, Arc::clone(ctx), started).run().await,
-        Ok(Err(e)) => reject(caller, e).await,
-        Err(_) => tracing::debug!(event = "startup_timed_out"),
-    }
-}
-
-/// Tells a caller why it gets no session, as far as it can be told.
-async fn reject<S: Transport>(mut caller: Caller<S>, reason: StartupError) {
-    let last = match reason {
-        StartupError::Closed | StartupError::Protocol(ProtocolError::Io(_)) => return,
-        StartupError::Protocol(e) => error(Severity::Fatal, "08P01", e.to_string()),
-        StartupError::Refused(refused) => {
-            tracing::info!(event = "startup_refused", reason = ?refused.reason, message = refused.message);
-            refusal(Severity::Fatal, &refused)
-        }
-    };
-    if let Err(e) = caller.send(last).await {
-        tracing::debug!(event = "reject_unsent", error = %e);
-    }
-}
-
 impl<S: Transport> Session<S> {
-    fn open(caller: Caller<S>, ctx: Arc<Context>, started: Started) -> Self {
+    pub(super) fn open(caller: Caller<S>, ctx: Arc<Context>, started: Started) -> Self {
         let grant = started.grant;
         let group = grant.group().name.clone();
         let id = NEXT_SESSION.fetch_add(1, Ordering::Relaxed);
@@ -286,7 +166,7 @@
         self.parameters.start();
     }
 
-    async fn run(mut self) {
+    pub(super) async fn run(mut self) {
         let ended = match self.greet().await {
             Ok(()) => self.serve_messages().await,
             Err(end) => end,
@@ -318,7 +198,7 @@
                     Ok(()) => continue,
                     Err(refused) => return End::Refused(refused),
                 },
-                () = ctx.life.drained_from_now(), if idle => return End::Refused(draining()),
+                () = ctx.life.drained_from_now(), if idle => return End::Refused(connection::draining()),
             };
             let message = match message {
                 Some(Ok(message)) => message,
@@ -431,24 +311,6 @@
         }
     }
 
-    /// Takes over a confirmed position that makes an unknown floor known, or asks for one.
-    fn learn_floor(&mut self) {
-        if self.floor.position().is_some() {
-            return;
-        }
-        let group = self.floor.group();
-        let state = self.round.map(|r| confirm::state(&self.ctx, group, r));
-        match state {
-            Some(RoundState::Confirmed(position)) => {
-                self.floor.raise(position);
-            }
-            Some(RoundState::Waiting) => {}
-            Some(RoundState::Failed) | None => {
-                self.round = Some(confirm::arrive(&self.ctx, group));
-            }
-        }
-    }
-
     async fn close(mut self, end: End) {
         self.ctx.sessions.remove(self.handle.pid);
         if let Transaction::Held(held) = &self.transaction {
--- a/crates/entry/tests/entry/routing.rs
+++ b/crates/entry/tests/entry/routing.rs
@@ -10,6 +10,7 @@
 use test_case::test_case;
 
 use crate::bed::Bed;
+use crate::bed::connect;
 use crate::bed::eventually;
 use crate::bed::refused;
 use crate::bed::value;
@@ -36,12 +37,11 @@
 }
 
 #[tokio::test]
-async fn read_of_another_group_token_goes_to_primary() {
+async fn token_of_another_group_is_ignored() {
     let bed = Bed::start().await;
-    bed.pool.hold_confirms(true);
-    bed.pool.applied("b", Position::new(1, 5));
     let client = bed.client_at("v1.other.1:5").await;
-    assert_eq!(value(&client, "SELECT 1").await.unwrap(), "a");
+    value(&client, "SELECT 1").await.unwrap();
+    assert_eq!(bed.pool.log()[0].floor.unwrap().index, 0);
 }
 
 #[test_case(Reason::Behind; "behind")]
@@ -104,18 +104,46 @@
 }
 
 #[tokio::test]
-async fn unknown_floor_reads_primary_until_confirmed() {
+async fn unknown_floor_waits_for_confirmation() {
     let bed = Bed::start().await;
     bed.pool.hold_confirms(true);
     let client = bed.client().await;
     eventually(|| bed.pool.confirms() == 1).await;
-    for _ in 0..3 {
-        assert_eq!(value(&client, "SELECT 1").await.unwrap(), "a");
-    }
+    let read = tokio::spawn(async move { value(&client, "SELECT 1").await });
+    let writer = bed.client().await;
+    writer
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
+    assert_eq!(bed.pool.upstreams(), ["a"]);
     bed.pool.hold_confirms(false);
-    while value(&client, "SELECT 1").await.unwrap() == "a" {}
+    writer
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
+    assert_eq!(read.await.unwrap().unwrap(), "b");
     assert_eq!(bed.pool.log().last().unwrap().floor.unwrap().term, 1);
-    assert_eq!(bed.pool.confirms(), 1);
+}
+
+#[test_case("SELECT 1"; "read")]
+#[test_case("BEGIN"; "transaction")]
+#[tokio::test]
+async fn unknown_floor_without_confirmation_is_refused(sql: &str) {
+    let bed = Bed::start().await;
+    bed.steward.change(|view| {
+        view.groups.get_mut(&GroupName::from("g1")).unwrap().primary = None;
+    });
+    let mut config = bed.config();
+    config.application_name("after the change");
+    let refusal = loop {
+        let client = connect(&config).await.unwrap();
+        let answer = client.batch_execute(sql).await;
+        if answer.is_err() {
+            break refused(answer);
+        }
+    };
+    assert_eq!(refusal.0, "57P03");
+    assert!(refusal.1.starts_with("outcome=not_run retry_after_ms="));
 }
 
 #[tokio::test]
@@ -129,9 +157,12 @@
         others.push(bed.client().await);
     }
     bed.pool.hold_confirms(false);
-    while value(&first, "SELECT 1").await.unwrap() == "a" {}
+    first
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
     for client in &others {
-        while value(client, "SELECT 1").await.unwrap() == "a" {}
+        assert_eq!(value(client, "SELECT 1").await.unwrap(), "b");
     }
     assert_eq!(bed.pool.confirms(), 2);
 }
--- a/crates/entry/tests/entry/wire.rs
+++ b/crates/entry/tests/entry/wire.rs
@@ -17,7 +17,15 @@
 /// Returns a start-up message for the open route.
 fn startup() -> Vec<u8> {
     let mut body = 196_608_u32.to_be_bytes().to_vec();
-    for text in ["user", "x", "database", OPEN_ROUTE] {
+    let token = "v1.g1.1:0";
+    for text in [
+        "user",
+        "x",
+        "database",
+        OPEN_ROUTE,
+        "mustardbay.session",
+        token,
+    ] {
         body.extend_from_slice(text.as_bytes());
         body.push(0);
     }
@@ -114,9 +122,8 @@
     }
 }
 
-/// Opens a session whose floor stays unknown, so that no token comes between the answers.
+/// Opens a session with a token, so that none comes between the answers.
 async fn session(bed: &Bed) -> TcpStream {
-    bed.pool.hold_confirms(true);
     let mut stream = TcpStream::connect(bed.entry.callers()).await.unwrap();
     stream.write_all(&startup()).await.unwrap();
     types_until(&mut stream, b'Z').await;
