Run requests with an id at most once

Cause: a sign-off whose answer was lost must not run again when the caller repeats it. Change: the pool inserts a request record in the statement's own transaction, stores the answer, commits and waits for a replica; a repetition gets the recorded answer once its position is received; another text under the same id is refused. A connection lost before COMMIT was sent is not run. A cancel request that is not known to be over closes its connection. Conclusion: holds after a promotion too, since the record travels in the replicated log.

--- a/crates/policy/src/queue/slots.rs
+++ b/crates/policy/src/queue/slots.rs
@@ -87,8 +87,11 @@
     }
 
     /// Changes the number of slots; statements that run are not stopped.
-    pub fn resize(&mut self, slots: usize) {
-        self.slots = slots.max(1);
+    ///
+    /// Returns whether the number is another one.
+    pub fn resize(&mut self, slots: usize) -> bool {
+        let old = std::mem::replace(&mut self.slots, slots.max(1));
+        old != self.slots
     }
 
     /// Asks for a slot.
--- a/crates/pool/src/request.rs
+++ b/crates/pool/src/request.rs
@@ -4,8 +4,11 @@
 mod batch;
 mod cancel;
 mod exchange;
+mod recorded;
+mod refusals;
 mod serve;
 mod session;
+mod statement;
 mod window;
 
 pub(crate) use answer::Answer;
--- a/crates/pool/src/request/exchange.rs
+++ b/crates/pool/src/request/exchange.rs
@@ -5,6 +5,7 @@
 use futures::FutureExt;
 use futures::StreamExt;
 use mustardbay_policy::position::Position;
+use mustardbay_wire::Mode;
 use pgwire::messages::PgWireBackendMessage;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedReadHalf;
@@ -79,6 +80,7 @@
     let mut pump = Pump {
         answer,
         hold: batch.may_commit(),
+        capture: batch.idempotency_key.is_some() && batch.mode == Mode::Write,
         hidden: &batch.hidden_parses,
         parses: 0,
         flushable: false,
@@ -102,6 +104,8 @@
 struct Pump<'a> {
     answer: &'a mut Answer,
     hold: bool,
+    /// Whether the whole answer is held.
+    capture: bool,
     hidden: &'a [u32],
     parses: u32,
     flushable: bool,
@@ -144,7 +148,7 @@
             _ => {}
         }
         self.flushable |= !kind::PREAMBLE.contains(&frame[0]);
-        if self.hold && self.summary.completed {
+        if self.capture || (self.hold && self.summary.completed) {
             return self.hold_back(&frame);
         }
         self.answer.push(&frame).await;
--- a/crates/pool/src/request/serve.rs
+++ b/crates/pool/src/request/serve.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use mustardbay_policy::position::Position;
 use mustardbay_policy::position::Term;
 use mustardbay_policy::queue::Class;
@@ -11,6 +12,7 @@
 use mustardbay_wire::ConfirmPosition;
 use mustardbay_wire::Mode;
 use tokio::time::Instant;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
@@ -19,6 +21,12 @@
 use super::cancel::send_cancel;
 use super::exchange::Summary;
 use super::exchange::exchange;
+use super::recorded::serve_recorded;
+use super::refusals::BUSY_RETRY;
+use super::refusals::cancelled;
+use super::refusals::rejected;
+use super::refusals::stale;
+use super::refusals::unsupported;
 use super::session::Session;
 use super::session::roll_back;
 use crate::catalog::Catalog;
@@ -28,28 +36,25 @@
 use crate::upstream::SQLSTATE_TERM;
 use crate::upstream::SQLSTATE_TOO_MANY;
 use crate::upstream::Slot;
+use crate::upstream::Target;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamError;
 use crate::upstream::UpstreamKey;
 
-/// When a request is worth repeating after a change of the view.
-const VIEW_RETRY: Duration = Duration::from_millis(50);
-/// When a request is worth repeating after its upstream was busy.
-const BUSY_RETRY: Duration = Duration::from_millis(100);
 /// Time that a cancelled statement gets to end.
 const CANCEL_GRACE: Duration = Duration::from_secs(1);
 
 /// Upstream of a request and what the view says of it.
-struct Place {
-    upstream: Arc<Upstream>,
+pub(super) struct Place {
+    pub(super) upstream: Arc<Upstream>,
     primary: bool,
     catalog: Arc<Catalog>,
 }
 
 /// End of a request that was served.
-struct Served {
-    status: u8,
-    committed: Option<Position>,
+pub(super) struct Served {
+    pub(super) status: u8,
+    pub(super) committed: Option<Position>,
 }
 
 /// Serves one batch and answers it.
@@ -83,8 +88,12 @@
     cancel: &CancellationToken,
 ) -> Result<Served, Refusal> {
     let place = locate(pool, &batch.key, batch.term)?;
-    if batch.idempotency_key.is_some() {
-        return Err(unsupported("request records"));
+    match (&batch.idempotency_key, batch.mode) {
+        (None, _) | (Some(_), Mode::Read) => {}
+        (Some(_), Mode::Write) => {
+            return serve_recorded(&place, session, batch, answer, cancel).await;
+        }
+        (Some(_), _) => return Err(unsupported("request ids need a statement of their own")),
     }
     let (leased, slot) = tokio::select! {
         biased;
@@ -120,7 +129,7 @@
 }
 
 /// Waits for a slot and a connection; nothing is sent before this returns.
-async fn prepare(
+pub(super) async fn prepare(
     place: &Place,
     session: &mut Session,
     batch: &Batch,
@@ -216,7 +225,7 @@
 }
 
 /// Exchanges the batch; the connection comes back only if its answer was read to the end.
-async fn run(
+pub(super) async fn run(
     mut leased: Leased,
     batch: &Batch,
     answer: &mut Answer,
@@ -225,7 +234,7 @@
     let target = leased.upstream.target.clone();
     let message = leased.con.cancel_message();
     let upstream = Arc::clone(&leased.upstream);
-    let mut ended = {
+    let ended = {
         let work = timeout_at(
             batch.deadline + CANCEL_GRACE,
             exchange(&mut leased.con, batch, answer),
@@ -240,15 +249,13 @@
         tokio::select! {
             ended = &mut work => ended,
             () = stopped => match &message {
-                Some(message) => tokio::join!(work, send_cancel(&target, message)).0,
+                Some(message) => cancel_and_wait(work, &target, message).await,
                 None => work.await,
             },
         }
     };
-    if let Ok(Ok(summary)) = &mut ended {
-        for report in summary.reports.drain(..) {
-            upstream.known.report(report);
-        }
+    if let Ok(Ok(summary)) = &ended {
+        upstream.known.report_all(&summary.reports);
     }
     match ended {
         Ok(Ok(summary)) => Ok((leased, summary)),
@@ -260,6 +267,22 @@
     }
 }
 
+/// Waits for the end of work that is being cancelled.
+///
+/// Where the cancel request may still be under way, the work counts as failed, so that its
+/// connection is closed and the request cannot hit a later statement.
+async fn cancel_and_wait(
+    work: impl Future<Output = Result<Result<Summary, UpstreamError>, Elapsed>>,
+    target: &Target,
+    message: &Bytes,
+) -> Result<Result<Summary, UpstreamError>, Elapsed> {
+    let (ended, sent) = tokio::join!(work, send_cancel(target, message));
+    match ended {
+        Ok(Ok(_)) if !sent => Ok(Err(UpstreamError::Protocol("cancel request not confirmed"))),
+        ended => ended,
+    }
+}
+
 /// Waits until what the batch committed is durable, and returns its position.
 async fn settle(
     place: &Place,
@@ -269,10 +292,16 @@
     let Some(position) = summary.committed().filter(|_| batch.may_commit()) else {
         return Ok(None);
     };
+    wait_durable(place, position).await?;
+    Ok(Some(position))
+}
+
+/// Waits until a replica has received `position`.
+pub(super) async fn wait_durable(place: &Place, position: Position) -> Result<(), Refusal> {
     let until = Instant::now() + Duration::from_millis(place.catalog.bundle.limits.durable_ms);
     let confirmations = &place.upstream.confirmations;
     match confirmations.wait_received(position, until).await {
-        Ok(_) => Ok(Some(position)),
+        Ok(_) => Ok(()),
         Err(e) => Err(Refusal::unknown(Reason::NotDurable, e.to_string())),
     }
 }
@@ -302,29 +331,3 @@
         _ => Refusal::not_run(Reason::NoPrimary, e.to_string(), Some(BUSY_RETRY)),
     })
 }
-
-/// Refuses a request of which the upstream said that it ran nothing.
-fn rejected(error: &UpstreamError) -> Refusal {
-    let (reason, after) = match error.code() {
-        Some(SQLSTATE_TERM) => (Reason::StaleTerm, VIEW_RETRY),
-        Some(SQLSTATE_TOO_MANY) => (Reason::Overloaded, BUSY_RETRY),
-        _ => (Reason::NoPrimary, VIEW_RETRY),
-    };
-    Refusal::not_run(reason, error.to_string(), Some(after))
-}
-
-fn stale(message: impl Into<String>) -> Refusal {
-    Refusal::not_run(Reason::StaleTerm, message, Some(VIEW_RETRY))
-}
-
-fn cancelled() -> Refusal {
-    Refusal::not_run(Reason::Cancelled, "cancelled before it ran", None)
-}
-
-fn unsupported(what: &str) -> Refusal {
-    Refusal::not_run(
-        Reason::Unsupported,
-        format!("{what} are not supported"),
-        None,
-    )
-}
--- a/crates/pool/src/server.rs
+++ b/crates/pool/src/server.rs
@@ -111,6 +111,7 @@
         if let Some(served) = upstreams.get(key)
             && served.target.address == found.address
         {
+            served.resize(found.sizes);
             return Some(Arc::clone(served));
         }
         let settings = &self.shared.settings;
--- a/crates/pool/src/upstream.rs
+++ b/crates/pool/src/upstream.rs
@@ -30,6 +30,7 @@
 pub(crate) use connection::Connection;
 pub(crate) use connection::HEADER_BYTES;
 pub(crate) use connection::Reported;
+pub(crate) use connection::Rows;
 pub(crate) use connection::Target;
 pub(crate) use connection::decode;
 pub(crate) use connection::reported;
@@ -39,7 +40,6 @@
 pub(crate) use error::UpstreamError;
 pub(crate) use leased::Leased;
 pub(crate) use slots::Claim;
-pub(crate) use slots::Crowded;
 pub(crate) use slots::Slot;
 pub(crate) use slots::Slots;
 
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Takes changed sizes over; the connection limit holds from the next start on.
+    pub(crate) fn resize(&self, sizes: Sizes) {
+        self.slots.resize(sizes.slots);
+    }
+
     /// Leases a connection of `term`, an idle one if there is one.
     pub(crate) async fn lease(
         self: &Arc<Self>,
@@ -122,9 +127,7 @@
             return Err(UpstreamError::Timeout);
         };
         let (con, reports) = opened?;
-        for report in reports {
-            self.known.report(report);
-        }
+        self.known.report_all(&reports);
         Ok(con)
     }
 
--- a/crates/pool/src/upstream/confirmations.rs
+++ b/crates/pool/src/upstream/confirmations.rs
@@ -113,7 +113,8 @@
         if con.clean {
             *slot = Some(con);
         }
-        parse_position(&rows?)
+        let parsed = rows?.first(0).parse().ok();
+        parsed.ok_or(UpstreamError::Protocol("no position"))
     };
     match timeout(left + ROUND_GRACE, round).await {
         Ok(result) => result,
@@ -131,14 +132,6 @@
     }
 }
 
-fn parse_position(rows: &[Vec<Option<String>>]) -> Result<Position, UpstreamError> {
-    let text = rows.first().and_then(|row| row.first()).cloned().flatten();
-    match text.unwrap_or_default().parse() {
-        Ok(position) => Ok(position),
-        Err(_) => Err(UpstreamError::Protocol("no position")),
-    }
-}
-
 fn answer_round(waiting: Vec<Waiter>, result: &Result<Position, UpstreamError>) {
     for waiter in waiting {
         let answer = match result {
--- a/crates/pool/src/upstream/connection.rs
+++ b/crates/pool/src/upstream/connection.rs
@@ -62,6 +62,35 @@
     Age(i64),
 }
 
+/// Answer to a simple query.
+#[derive(Debug, Default)]
+pub(crate) struct Rows {
+    pub(crate) rows: Vec<Vec<Option<String>>>,
+    pub(crate) reports: Vec<Reported>,
+}
+
+impl Rows {
+    /// Returns a column of the first row; empty where there is none.
+    pub(crate) fn first(&self, column: usize) -> &str {
+        let value = self.rows.first().and_then(|row| row.get(column));
+        value.and_then(Option::as_deref).unwrap_or_default()
+    }
+
+    /// Returns the first two columns of the first row.
+    pub(crate) fn pair(&self) -> Option<(&str, &str)> {
+        self.rows.first()?;
+        Some((self.first(0), self.first(1)))
+    }
+
+    /// Returns the position that the upstream reported, if it moved.
+    pub(crate) fn position(&self) -> Option<Position> {
+        self.reports.iter().rev().find_map(|report| match report {
+            Reported::Position(position) => Some(*position),
+            Reported::Age(_) => None,
+        })
+    }
+}
+
 impl Connection {
     /// Connects and logs in.
     pub(crate) async fn open(
@@ -95,17 +124,19 @@
     }
 
     /// Runs a simple query and returns the rows as text.
-    pub(crate) async fn query(
-        &mut self,
-        sql: &str,
-    ) -> Result<Vec<Vec<Option<String>>>, UpstreamError> {
+    pub(crate) async fn query(&mut self, sql: &str) -> Result<Rows, UpstreamError> {
         self.clean = false;
         self.writer.write_all(&encode_query(sql)).await?;
-        let mut rows = Vec::new();
+        let mut rows = Rows::default();
         let mut failed = None;
         loop {
             match decode(self.receive().await?)? {
-                PgWireBackendMessage::DataRow(row) => rows.push(text_columns(&row.data)?),
+                PgWireBackendMessage::DataRow(row) => {
+                    rows.rows.push(text_columns(&row.data)?);
+                }
+                PgWireBackendMessage::ParameterStatus(status) => {
+                    rows.reports.extend(reported(&status));
+                }
                 PgWireBackendMessage::ErrorResponse(error) => {
                     failed = Some(UpstreamError::refused(&error.fields));
                 }
--- a/crates/pool/src/upstream/control.rs
+++ b/crates/pool/src/upstream/control.rs
@@ -9,6 +9,8 @@
 use super::known::Known;
 
 const POSITION_QUERY: &str = "SELECT * FROM mustardbay_position()";
+const APPLIED_COLUMN: usize = 3;
+const AGE_COLUMN: usize = 4;
 
 /// Control connection, opened on first use and after a failure.
 #[derive(Debug)]
@@ -41,12 +43,10 @@
         if con.clean {
             *slot = Some(con);
         }
-        let row = rows.first().ok_or(UpstreamError::Protocol("no position"))?;
-        let column = |at: usize| row.get(at).and_then(Option::as_deref).unwrap_or_default();
-        if let Ok(position) = column(3).parse() {
+        if let Ok(position) = rows.first(APPLIED_COLUMN).parse() {
             known.report(Reported::Position(position));
         }
-        if let Ok(age_ms) = column(4).parse() {
+        if let Ok(age_ms) = rows.first(AGE_COLUMN).parse() {
             known.report(Reported::Age(age_ms));
         }
         Ok(())
--- a/crates/pool/src/upstream/known.rs
+++ b/crates/pool/src/upstream/known.rs
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Takes over several reports.
+    pub(crate) fn report_all(&self, reports: &[Reported]) {
+        for report in reports {
+            self.report(*report);
+        }
+    }
+
     /// Returns the last known applied position.
     pub(crate) fn applied(&self) -> Option<Position> {
         self.lock().applied
--- a/crates/pool/src/upstream/slots.rs
+++ b/crates/pool/src/upstream/slots.rs
@@ -83,8 +83,9 @@
     /// Changes the number of slots.
     pub(super) fn resize(&self, slots: u32) {
         let mut state = self.lock();
-        state.queue.resize(slots as usize);
-        state.dispatch();
+        if state.queue.resize(slots as usize) {
+            state.dispatch();
+        }
     }
 
     /// Waits for a slot.
--- a/crates/pool/tests/pool/fake_upstream.rs
+++ b/crates/pool/tests/pool/fake_upstream.rs
@@ -18,6 +18,10 @@
 const CANCEL_CODE: i32 = 80_877_102;
 
 /// What the upstream is and has seen.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent switches of a test"
+)]
 #[derive(Debug, Default)]
 pub struct State {
     pub role: &'static str,
@@ -42,6 +46,9 @@
     pub open: i32,
     pub running: usize,
     pub most_running: usize,
+    /// Committed request records: digest and answer by the text after the table's name.
+    pub records: HashMap<String, (String, String)>,
+    pub has_table: bool,
     hanging: HashMap<i32, Arc<Notify>>,
 }
 
@@ -117,6 +124,8 @@
     term: Option<u64>,
     in_transaction: bool,
     wrote: bool,
+    failed: bool,
+    record: Option<(String, (String, String))>,
     reported: Option<String>,
 }
 
@@ -129,6 +138,8 @@
             term: None,
             in_transaction: false,
             wrote: false,
+            failed: false,
+            record: None,
             reported: None,
         }
     }
@@ -230,6 +241,10 @@
             error(out, "MB001", "term is not in force");
             return Ok(());
         }
+        if sql.contains("mustardbay_request") {
+            self.failed |= !self.records(sql, out);
+            return Ok(());
+        }
         let mut words = sql.split(' ');
         match words.next().unwrap_or_default() {
             "BEGIN" => {
@@ -241,11 +256,16 @@
                 if std::mem::take(&mut self.wrote) {
                     self.upstream.state().index += 1;
                 }
+                if let Some((key, record)) = self.record.take() {
+                    self.upstream.state().records.insert(key, record);
+                }
                 complete(out, "COMMIT");
             }
             "ROLLBACK" => {
                 self.in_transaction = false;
                 self.wrote = false;
+                self.failed = false;
+                self.record = None;
                 complete(out, "ROLLBACK");
             }
             "INSERT" if role != "primary" => error(out, "25006", "read-only upstream"),
@@ -280,7 +300,10 @@
                 }
                 complete(out, "SELECT 1");
             }
-            "FAIL" => error(out, "42601", "scripted failure"),
+            "FAIL" => {
+                self.failed = self.in_transaction;
+                error(out, "42601", "scripted failure");
+            }
             text => {
                 row(out, &[text, sql]);
                 complete(out, "SELECT 1");
@@ -289,6 +312,44 @@
         Ok(())
     }
 
+    /// Keeps request records; `false` when the statement fails.
+    fn records(&mut self, sql: &str, out: &mut BytesMut) -> bool {
+        let quoted: Vec<&str> = sql.split('\'').skip(1).step_by(2).collect();
+        let verb = sql.split(' ').next().unwrap_or_default();
+        let mut state = self.upstream.state();
+        if verb == "CREATE" {
+            state.has_table = true;
+            state.index += 1;
+        } else if !state.has_table {
+            error(out, "42P01", "no such table");
+            return false;
+        }
+        match (verb, quoted.as_slice()) {
+            ("INSERT", [account, id, digest, ..]) => {
+                let key = format!("{account} {id}");
+                if state.records.contains_key(&key) {
+                    error(out, "23505", "duplicate key");
+                    return false;
+                }
+                self.record = Some((key, ((*digest).to_owned(), String::new())));
+                self.wrote = true;
+            }
+            ("UPDATE", [answer, ..]) => {
+                if let Some((_, record)) = &mut self.record {
+                    (*answer).clone_into(&mut record.1);
+                }
+            }
+            ("SELECT", [account, id]) => {
+                if let Some((digest, answer)) = state.records.get(&format!("{account} {id}")) {
+                    row(out, &[digest, answer]);
+                }
+            }
+            _ => {}
+        }
+        complete(out, verb);
+        true
+    }
+
     async fn control(&self, call: &str, out: &mut BytesMut) {
         let (at, role, term, age, replicates, round) = {
             let s = self.upstream.state();
@@ -323,7 +384,12 @@
             put(out, b'S', format!("mustardbay.position\0{at}\0").as_bytes());
             self.reported = Some(at);
         }
-        put(out, b'Z', if self.in_transaction { b"T" } else { b"I" });
+        let status = match (self.in_transaction, self.failed) {
+            (false, _) => b"I",
+            (true, false) => b"T",
+            (true, true) => b"E",
+        };
+        put(out, b'Z', status);
     }
 }
 
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -10,4 +10,5 @@
 mod operations;
 mod overload;
 mod reads;
+mod recorded;
 mod transactions;
