--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,16 +3,25 @@
 mod auth;
 mod caller;
 mod cli;
+mod confirm;
 mod context;
 mod dump;
 mod entry;
 mod groups;
 mod listener;
+mod meters;
 mod pools;
+mod rates;
 mod session;
+mod sessions;
 mod settings;
+mod tls;
 
 pub use cli::run;
 pub use entry::Entry;
 pub use entry::StartError;
+pub use settings::CallerLimits;
 pub use settings::EntrySettings;
+pub use settings::KeyExchange;
+pub use settings::TlsSettings;
+pub use tls::TlsError;
