Follow the view: terms, leaving upstreams, suspect primaries, warm connections and drain

Cause: work of an old term waited on, a cut-off primary kept taking writes that nobody confirms, each new connection cost its opening time on a request's path, and SIGTERM did not end the process. Change: a Keeper actor fits upstreams to every view; waiting work of an old term or a leaving upstream is refused, its transactions end; a primary without a confirmation for suspect_ms takes no new writes until a probe succeeds; one idle connection is opened ahead, surplus ones close, failed attempts back off with jitter and are reported; drain refuses new work, finishes what runs, and stops. Conclusion: the refusals are at once and say not run; times on real processes are not measured yet.

--- a/crates/policy/src/queue/slots.rs
+++ b/crates/policy/src/queue/slots.rs
@@ -195,6 +195,12 @@
         self.transactions = self.transactions.saturating_sub(1);
     }
 
+    /// Returns how many transactions are open between their statements.
+    #[must_use]
+    pub fn transactions(&self) -> usize {
+        self.transactions
+    }
+
     /// Returns how many statements run and how many wait.
     #[must_use]
     pub fn load(&self) -> (usize, usize) {
--- a/crates/pool/src/command_line.rs
+++ b/crates/pool/src/command_line.rs
@@ -66,7 +66,7 @@
     let metrics = Metrics::new()?;
     let link = StewardLink::start(settings.steward.clone(), "pool", incarnation());
     let admin_address = settings.admin.clone();
-    let pool = Pool::new(settings, link, life.clone());
+    let pool = Pool::new(settings, link, life.clone(), &metrics.meter());
     let dumped = pool.clone();
     Admin::new(life.clone(), metrics, move || {
         let pool = dumped.clone();
--- a/crates/pool/src/entry_link.rs
+++ b/crates/pool/src/entry_link.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use futures::SinkExt;
 use futures::StreamExt;
@@ -32,6 +33,8 @@
 
 /// Messages to an entry that may wait for its socket.
 const OUTBOX_MESSAGES: usize = 256;
+/// Time between two looks for transactions that must end.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// Window of answers that carry no rows.
 const SMALL_WINDOW: u64 = 1;
 
@@ -67,11 +70,15 @@
         sessions: HashMap::new(),
         tasks: TaskTracker::new(),
     };
+    let mut sweeps = link.pool.timer().every(SWEEP_PERIOD);
     let ended = loop {
-        match messages.next().await {
-            Some(Ok(message)) => link.receive(message),
-            Some(Err(e)) => break Err(e),
-            None => break Ok(()),
+        tokio::select! {
+            message = messages.next() => match message {
+                Some(Ok(message)) => link.receive(message),
+                Some(Err(e)) => break Err(e),
+                None => break Ok(()),
+            },
+            Some(_) = sweeps.recv() => link.sweep(),
         }
     };
     link.release_all().await;
@@ -131,10 +138,26 @@
         let session = Arc::clone(self.sessions.entry(batch.session).or_default());
         let requests = Arc::clone(&self.requests);
         let pool = self.pool.clone();
-        self.tasks.spawn(async move {
+        let served = self.pool.requests().track_future(async move {
             serve_submit(pool, session, batch, answer, cancel).await;
             lock(&requests).remove(&request);
         });
+        self.tasks.spawn(served);
+    }
+
+    /// Ends transactions whose term or upstream has ended.
+    fn sweep(&self) {
+        for session in self.sessions.values() {
+            let Ok(locked) = Arc::clone(session).try_lock_owned() else {
+                continue;
+            };
+            if locked.is_overdue() {
+                self.tasks.spawn(async move {
+                    let mut locked = locked;
+                    locked.end().await;
+                });
+            }
+        }
     }
 
     fn confirm(&self, request: ConfirmPosition) {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -2,7 +2,10 @@
 
 mod catalog;
 mod command_line;
+mod drain;
 mod entry_link;
+mod keeper;
+mod metrics;
 mod request;
 mod server;
 mod settings;
--- a/crates/pool/src/request/recorded.rs
+++ b/crates/pool/src/request/recorded.rs
@@ -21,12 +21,11 @@
 use super::answer::Answer;
 use super::batch::Batch;
 use super::refusals::BUSY_RETRY;
-use super::refusals::cancelled;
 use super::refusals::rejected;
 use super::refusals::unsupported;
 use super::serve::Place;
 use super::serve::Served;
-use super::serve::prepare;
+use super::serve::prepare_unless_ended;
 use super::serve::run;
 use super::serve::wait_durable;
 use super::session::Session;
@@ -63,11 +62,7 @@
     let id = batch.idempotency_key.as_deref().unwrap_or_default();
     let key = RecordKey::new(&batch.account, id).map_err(|e| unsupported(e.to_string()))?;
     let digest = digest(&batch.messages).map_err(|e| unsupported(e.to_string()))?;
-    let (mut leased, slot) = tokio::select! {
-        biased;
-        () = cancel.cancelled() => return Err(cancelled()),
-        prepared = prepare(place, session, batch) => prepared?,
-    };
+    let (mut leased, slot) = prepare_unless_ended(place, session, batch, cancel).await?;
     let (position, bytes) = match claim(&mut leased, &key, &digest, batch.deadline).await? {
         Claimed::Taken => replay(leased, &key, &digest, batch.deadline).await?,
         Claimed::Fresh => match run_claimed(leased, batch, answer, cancel).await? {
--- a/crates/pool/src/request/refusals.rs
+++ b/crates/pool/src/request/refusals.rs
@@ -29,6 +29,16 @@
     Refusal::not_run(Reason::StaleTerm, message, Some(VIEW_RETRY))
 }
 
+/// Refuses new work while the process drains.
+pub(super) fn draining() -> Refusal {
+    Refusal::not_run(Reason::Draining, "pool is draining", Some(VIEW_RETRY))
+}
+
+/// Refuses new work on an upstream that is leaving.
+pub(super) fn leaving() -> Refusal {
+    Refusal::not_run(Reason::Leaving, "upstream is leaving", Some(VIEW_RETRY))
+}
+
 /// Refuses a request that was cancelled before it ran.
 pub(super) fn cancelled() -> Refusal {
     Refusal::not_run(Reason::Cancelled, "cancelled before it ran", None)
--- a/crates/pool/src/request/serve.rs
+++ b/crates/pool/src/request/serve.rs
@@ -24,6 +24,8 @@
 use super::recorded::serve_recorded;
 use super::refusals::BUSY_RETRY;
 use super::refusals::cancelled;
+use super::refusals::draining;
+use super::refusals::leaving;
 use super::refusals::rejected;
 use super::refusals::stale;
 use super::refusals::unsupported;
@@ -32,6 +34,7 @@
 use crate::catalog::Catalog;
 use crate::server::Pool;
 use crate::upstream::Claim;
+use crate::upstream::Ended;
 use crate::upstream::Leased;
 use crate::upstream::SQLSTATE_TERM;
 use crate::upstream::SQLSTATE_TOO_MANY;
@@ -46,6 +49,7 @@
 
 /// Upstream of a request and what the view says of it.
 pub(super) struct Place {
+    pool: Pool,
     pub(super) upstream: Arc<Upstream>,
     primary: bool,
     catalog: Arc<Catalog>,
@@ -74,6 +78,7 @@
             if batch.mode == Mode::Continue {
                 session.end().await;
             }
+            pool.metrics().count_refusal(&refusal);
             tracing::debug!(event = "request_refused", account = %batch.account, reason = ?refusal.reason, outcome = ?refusal.outcome);
             answer.refuse(refusal, positions).await;
         }
@@ -87,7 +92,8 @@
     answer: &mut Answer,
     cancel: &CancellationToken,
 ) -> Result<Served, Refusal> {
-    let place = locate(pool, &batch.key, batch.term)?;
+    let place = locate(pool, &batch.key)?;
+    check_open(pool, &place, batch)?;
     match (&batch.idempotency_key, batch.mode) {
         (None, _) | (Some(_), Mode::Read) => {}
         (Some(_), Mode::Write) => {
@@ -95,13 +101,11 @@
         }
         (Some(_), _) => return Err(unsupported("request ids need a statement of their own")),
     }
-    let (leased, slot) = tokio::select! {
-        biased;
-        () = cancel.cancelled() => return Err(cancelled()),
-        prepared = prepare(&place, session, batch) => prepared?,
-    };
+    let (leased, slot) = prepare_unless_ended(&place, session, batch, cancel).await?;
+    let started = Instant::now();
     let (leased, summary) = run(leased, batch, answer, cancel).await?;
     drop(slot);
+    pool.metrics().record_service(started.elapsed());
     if let Some(error) = &summary.rejection {
         roll_back(leased).await;
         return Err(rejected(error));
@@ -111,6 +115,7 @@
     } else {
         session.hold(leased);
     }
+    let settling = Instant::now();
     let committed = match settle(&place, batch, &summary).await {
         Ok(committed) => committed,
         Err(refusal) => {
@@ -118,6 +123,9 @@
             return Err(refusal);
         }
     };
+    if committed.is_some() {
+        pool.metrics().record_durable_wait(settling.elapsed());
+    }
     answer.flush().await;
     if !summary.held.is_empty() {
         answer.send_chunk(summary.held.freeze()).await;
@@ -128,8 +136,32 @@
     })
 }
 
+/// Prepares a batch, unless it is cancelled or its upstream takes no new work any more.
+pub(super) async fn prepare_unless_ended(
+    place: &Place,
+    session: &mut Session,
+    batch: &Batch,
+    cancel: &CancellationToken,
+) -> Result<(Leased, Slot), Refusal> {
+    let ended = async {
+        if batch.mode == Mode::Continue {
+            std::future::pending::<()>().await;
+        }
+        place.upstream.until_ended(batch.term).await
+    };
+    let began = Instant::now();
+    let prepared = tokio::select! {
+        biased;
+        () = cancel.cancelled() => return Err(cancelled()),
+        ended = ended => return Err(refuse_ended(ended)),
+        prepared = prepare(place, session, batch) => prepared?,
+    };
+    place.pool.metrics().record_slot_wait(began.elapsed());
+    Ok(prepared)
+}
+
 /// Waits for a slot and a connection; nothing is sent before this returns.
-pub(super) async fn prepare(
+async fn prepare(
     place: &Place,
     session: &mut Session,
     batch: &Batch,
@@ -158,30 +190,67 @@
     })
 }
 
-/// Finds the upstream and checks the request's term against the view's.
-fn locate(pool: &Pool, key: &UpstreamKey, term: Term) -> Result<Place, Refusal> {
+/// Finds the upstream in the view.
+fn locate(pool: &Pool, key: &UpstreamKey) -> Result<Place, Refusal> {
     let Some(view) = pool.view() else {
         return Err(stale("pool has no view yet"));
     };
     let Some(state) = view.groups.get(&key.group) else {
         return Err(stale("group is not known"));
     };
-    if state.term != term {
-        return Err(stale(format!("term {} is in force", state.term)));
-    }
     let catalog = pool.catalog(&view);
     let Some(upstream) = pool.upstream(&catalog, key) else {
         return Err(stale("upstream is not in the bundle"));
     };
-    upstream.known.begin_term(term);
+    let leaving = catalog.upstream(key).is_some_and(|entry| entry.leaving);
+    upstream.fit(state.term, leaving);
     Ok(Place {
+        pool: pool.clone(),
         upstream,
         primary: state.primary.as_ref() == Some(&key.upstream),
         catalog,
     })
 }
 
+/// Checks that new work may start: the process serves, the term is in force, the upstream stays,
+/// and a primary's replicas confirm what it writes.
+fn check_open(pool: &Pool, place: &Place, batch: &Batch) -> Result<(), Refusal> {
+    if batch.mode == Mode::Continue {
+        return Ok(());
+    }
+    if pool.life().is_draining() {
+        return Err(draining());
+    }
+    check_condition(place, batch.term)?;
+    let bound = Duration::from_millis(place.catalog.bundle.limits.suspect_ms);
+    if place.primary && batch.may_commit() && place.upstream.confirmations.is_suspect(bound) {
+        return Err(Refusal::not_run(
+            Reason::NoPrimary,
+            "no replica confirms the primary",
+            Some(BUSY_RETRY),
+        ));
+    }
+    Ok(())
+}
+
+fn check_condition(place: &Place, term: Term) -> Result<(), Refusal> {
+    match place.upstream.condition().ended(term) {
+        Some(ended) => Err(refuse_ended(ended)),
+        None => Ok(()),
+    }
+}
+
+fn refuse_ended(ended: Ended) -> Refusal {
+    match ended {
+        Ended::Term(term) => stale(format!("term {term} is in force")),
+        Ended::Leaving => leaving(),
+    }
+}
+
 fn held(session: &mut Session, batch: &Batch) -> Result<Leased, Refusal> {
+    if session.is_overdue() {
+        return Err(stale("the transaction's term or upstream has ended"));
+    }
     session.take(&batch.key).ok_or_else(|| {
         Refusal::not_run(
             Reason::ConnectionLost,
@@ -218,8 +287,11 @@
 
 async fn lease(place: &Place, batch: &Batch) -> Result<Leased, Refusal> {
     let leased = place.upstream.lease(batch.term, batch.deadline).await;
-    leased.map_err(|e| match e.code() {
-        Some(SQLSTATE_TERM | SQLSTATE_TOO_MANY) => rejected(&e),
+    leased.map_err(|e| match (e.code(), &e) {
+        (Some(SQLSTATE_TERM | SQLSTATE_TOO_MANY), _) => rejected(&e),
+        (_, UpstreamError::Paused(pause)) => {
+            Refusal::not_run(Reason::NoUpstream, e.to_string(), Some(*pause))
+        }
         _ => Refusal::not_run(Reason::NoUpstream, e.to_string(), Some(BUSY_RETRY)),
     })
 }
@@ -313,7 +385,11 @@
         group: request.group.into(),
         upstream: request.upstream.into(),
     };
-    let confirmed = match locate(&pool, &key, Term(request.term)) {
+    let place = locate(&pool, &key).and_then(|place| {
+        check_condition(&place, Term(request.term))?;
+        Ok(place)
+    });
+    let confirmed = match place {
         Ok(place) if place.primary => confirm(&place.upstream, until).await,
         Ok(_) => Err(stale("upstream is not the primary")),
         Err(refusal) => Err(refusal),
--- a/crates/pool/src/request/session.rs
+++ b/crates/pool/src/request/session.rs
@@ -24,6 +24,14 @@
         Some(leased)
     }
 
+    /// Tells whether the open transaction must end, by its term or because its upstream leaves.
+    pub(crate) fn is_overdue(&self) -> bool {
+        self.held.as_ref().is_some_and(|held| {
+            let condition = held.upstream.condition();
+            condition.ends_transaction(held.con.term)
+        })
+    }
+
     /// Holds the connection of an open transaction.
     pub(super) fn hold(&mut self, leased: Leased) {
         leased.upstream.slots.open_transaction();
--- a/crates/pool/src/server.rs
+++ b/crates/pool/src/server.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use mustardbay_link::StewardLink;
@@ -12,14 +13,20 @@
 use mustardbay_policy::view::View;
 use mustardbay_process::dialer::Dialer;
 use mustardbay_process::lifecycle::Lifecycle;
+use mustardbay_process::timer::Timer;
 use mustardbay_wire::UpstreamPosition;
+use opentelemetry::metrics::Meter;
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
 use crate::catalog::Catalog;
+use crate::drain::drain;
 use crate::entry_link::serve_entry;
+use crate::keeper;
+use crate::metrics::PoolMetrics;
 use crate::settings::PoolSettings;
 use crate::upstream::Target;
 use crate::upstream::Upstream;
@@ -41,12 +48,15 @@
     catalog: ArcSwapOption<Catalog>,
     upstreams: Mutex<Upstreams>,
     links: TaskTracker,
+    requests: TaskTracker,
+    metrics: PoolMetrics,
+    timer: Timer,
 }
 
 impl Pool {
     /// Creates a pool that serves nothing yet.
     #[must_use]
-    pub fn new(settings: PoolSettings, link: StewardLink, life: Lifecycle) -> Self {
+    pub fn new(settings: PoolSettings, link: StewardLink, life: Lifecycle, meter: &Meter) -> Self {
         let shared = Shared {
             settings,
             link,
@@ -54,6 +64,9 @@
             catalog: ArcSwapOption::empty(),
             upstreams: Mutex::default(),
             links: TaskTracker::new(),
+            requests: TaskTracker::new(),
+            metrics: PoolMetrics::new(meter),
+            timer: Timer::new(),
         };
         Self {
             shared: Arc::new(shared),
@@ -70,6 +83,8 @@
         let address = listener.local_addr()?;
         tracing::info!(event = "pool_started", %address, vm = self.shared.settings.vm);
         tokio::spawn(accept_entries(self.clone(), listener));
+        tokio::spawn(drain(self.clone()));
+        keeper::start(self.clone(), &self.shared.timer);
         Ok(address)
     }
 
@@ -83,11 +98,62 @@
             "bundle": self.view().map(|view| view.bundle.version),
             "draining": self.shared.life.is_draining(),
             "entries": self.shared.links.len(),
+            "in_flight": self.in_flight(),
             "groups": self.view().map(|view| view.groups.clone()),
             "upstreams": upstreams,
         })
     }
 
+    pub(crate) fn life(&self) -> &Lifecycle {
+        &self.shared.life
+    }
+
+    pub(crate) fn timer(&self) -> &Timer {
+        &self.shared.timer
+    }
+
+    pub(crate) fn metrics(&self) -> &PoolMetrics {
+        &self.shared.metrics
+    }
+
+    /// Returns the tasks of requests that run.
+    pub(crate) fn requests(&self) -> &TaskTracker {
+        &self.shared.requests
+    }
+
+    pub(crate) fn drain_bound(&self) -> Duration {
+        Duration::from_millis(self.shared.settings.drain_ms)
+    }
+
+    /// Returns how many requests run and transactions are open.
+    pub(crate) fn in_flight(&self) -> usize {
+        let open = |upstream: &Arc<Upstream>| upstream.slots.transactions();
+        let open: usize = self.served().iter().map(open).sum();
+        self.shared.requests.len() + open
+    }
+
+    /// Returns a receiver that changes with every new view.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.shared.link.changes()
+    }
+
+    /// Fits every served upstream to the view; those that left the bundle are dropped.
+    pub(crate) fn fit_to_view(&self) {
+        let Some(view) = self.view() else {
+            return;
+        };
+        let catalog = self.catalog(&view);
+        self.lock_upstreams().retain(|key, upstream| {
+            let (Some(entry), Some(state)) = (catalog.upstream(key), view.groups.get(&key.group))
+            else {
+                return false;
+            };
+            upstream.resize(entry.sizes);
+            upstream.fit(state.term, entry.leaving);
+            entry.address == upstream.target.address
+        });
+    }
+
     pub(crate) fn view(&self) -> Option<Arc<View>> {
         self.shared.link.view()
     }
@@ -111,7 +177,6 @@
         if let Some(served) = upstreams.get(key)
             && served.target.address == found.address
         {
-            served.resize(found.sizes);
             return Some(Arc::clone(served));
         }
         let settings = &self.shared.settings;
@@ -127,6 +192,7 @@
             target,
             found.sizes,
             settings.queue,
+            self.shared.link.clone(),
         ));
         upstreams.insert(key.clone(), Arc::clone(&upstream));
         Some(upstream)
@@ -139,7 +205,7 @@
         of_group.filter_map(|u| position_of(u)).collect()
     }
 
-    fn served(&self) -> Vec<Arc<Upstream>> {
+    pub(crate) fn served(&self) -> Vec<Arc<Upstream>> {
         self.lock_upstreams().values().cloned().collect()
     }
 
@@ -184,6 +250,7 @@
 fn dump_upstream(upstream: &Upstream) -> Value {
     let (idle, free) = upstream.connections();
     let (running, waiting) = upstream.slots.load();
+    let condition = upstream.condition();
     json!({
         "group": upstream.key.group,
         "upstream": upstream.key.upstream,
@@ -193,5 +260,8 @@
         "service_us": upstream.slots.service().as_micros(),
         "idle_connections": idle,
         "free_leases": free,
+        "term": condition.term,
+        "waits_for_replica": upstream.confirmations.is_waiting(),
+        "leaving": condition.leaving.is_some(),
     })
 }
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -32,6 +32,13 @@
     /// Order in which waiting statements are served.
     #[serde(default)]
     pub queue: Discipline,
+    /// Longest time that a drain waits for what is in flight, in milliseconds.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
+}
+
+fn default_drain_ms() -> u64 {
+    8_000
 }
 
 /// Login at the upstreams.
--- a/crates/pool/src/upstream.rs
+++ b/crates/pool/src/upstream.rs
@@ -1,5 +1,6 @@
 //! An upstream that this pool serves: its connections, slots, positions and confirmations.
 
+mod condition;
 mod confirmations;
 mod connection;
 mod control;
@@ -8,25 +9,35 @@
 mod leased;
 mod login;
 mod slots;
+mod warm;
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use mustardbay_link::StewardLink;
 use mustardbay_policy::names::GroupName;
 use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::position::Position;
 use mustardbay_policy::position::Term;
 use mustardbay_policy::queue::Discipline;
+use mustardbay_policy::reconnect::Reconnect;
+use mustardbay_wire::UpstreamHealth;
 use tokio::sync::Semaphore;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
 use confirmations::Confirmations;
 use control::Control;
 use known::Known;
+use warm::Idle;
+use warm::WARM_CONNECTIONS;
 
+pub(crate) use condition::Condition;
+pub(crate) use condition::Ended;
 pub(crate) use connection::Connection;
 pub(crate) use connection::HEADER_BYTES;
 pub(crate) use connection::Reported;
@@ -48,6 +59,11 @@
 /// Pause between two looks at the position of a replica that is behind.
 const BEHIND_POLL_PAUSE: Duration = Duration::from_millis(2);
 
+/// Longest time that an attempt to connect may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which an upstream that nobody asks for keeps no connection.
+const UNUSED_TIME: Duration = Duration::from_mins(1);
+
 /// Name of an upstream across groups.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct UpstreamKey {
@@ -72,7 +88,13 @@
     pub(crate) slots: Arc<Slots>,
     control: Control,
     leases: Arc<Semaphore>,
-    idle: Mutex<Vec<Connection>>,
+    idle: Mutex<Idle>,
+    usable: usize,
+    condition: watch::Sender<Condition>,
+    reconnect: Mutex<Reconnect>,
+    warming: tokio::sync::Mutex<()>,
+    used: Mutex<Instant>,
+    steward: StewardLink,
 }
 
 impl Upstream {
@@ -82,6 +104,7 @@
         target: Target,
         sizes: Sizes,
         discipline: Discipline,
+        steward: StewardLink,
     ) -> Self {
         let usable = sizes
             .connections
@@ -96,6 +119,12 @@
             slots: Slots::new(discipline, sizes.slots),
             leases: Arc::new(Semaphore::new(usable as usize)),
             idle: Mutex::default(),
+            usable: usable as usize,
+            condition: watch::Sender::default(),
+            reconnect: Mutex::default(),
+            warming: tokio::sync::Mutex::default(),
+            used: Mutex::new(Instant::now()),
+            steward,
         }
     }
 
@@ -114,46 +143,156 @@
         let Ok(Ok(permit)) = timeout_at(deadline, leases.acquire_owned()).await else {
             return Err(UpstreamError::Timeout);
         };
-        let con = match self.take_idle(term) {
+        self.mark_used();
+        let (idle, last) = {
+            let mut idle = self.lock_idle();
+            let con = idle.take(term);
+            (con, idle.len() == 0)
+        };
+        let con = match idle {
             Some(con) => con,
             None => self.open(term, deadline).await?,
         };
+        if last {
+            tokio::spawn(Arc::clone(self).keep_warm());
+        }
         Ok(Leased::new(Arc::clone(self), con, permit))
     }
 
+    /// Opens a connection, unless the last attempt failed a moment ago.
     async fn open(&self, term: Term, deadline: Instant) -> Result<Connection, UpstreamError> {
-        let opened = timeout_at(deadline, Connection::open(&self.target, Some(term))).await;
-        let Ok(opened) = opened else {
-            return Err(UpstreamError::Timeout);
+        let now = Instant::now();
+        if let Some(pause) = self.lock_reconnect().pause(now.into_std()) {
+            return Err(UpstreamError::Paused(pause));
+        }
+        let bound = now + CONNECT_TIMEOUT;
+        let opening = Connection::open(&self.target, Some(term));
+        let opened = match timeout_at(deadline.min(bound), opening).await {
+            Ok(opened) => opened,
+            Err(_) if deadline < bound => return Err(UpstreamError::Timeout),
+            Err(_) => Err(UpstreamError::Timeout),
         };
+        self.note_attempt(opened.as_ref().err());
         let (con, reports) = opened?;
         self.known.report_all(&reports);
         Ok(con)
     }
 
-    fn take_idle(&self, term: Term) -> Option<Connection> {
-        let mut idle = self.lock_idle();
-        while let Some(mut con) = idle.pop() {
-            if con.term == Some(term) && con.is_quiet() {
-                return Some(con);
+    /// Notes whether the upstream was reached, and reports a change to the steward.
+    fn note_attempt(&self, error: Option<&UpstreamError>) {
+        let reached = error.is_none_or(|e| e.code().is_some());
+        let changed = {
+            let mut reconnect = self.lock_reconnect();
+            let failing = reconnect.is_failing();
+            if reached {
+                reconnect.succeed();
+            } else {
+                reconnect.fail(Instant::now().into_std(), rand::random());
             }
+            failing == reached
+        };
+        if changed {
+            tracing::info!(event = "upstream_reached", group = %self.key.group, upstream = %self.key.upstream, reached);
+            self.steward.report(UpstreamHealth {
+                group: self.key.group.to_string(),
+                upstream: self.key.upstream.to_string(),
+                reachable: reached,
+            });
         }
-        None
     }
 
     fn put_idle(&self, con: Connection) {
-        self.lock_idle().push(con);
+        if con.term == Some(self.condition().term) {
+            self.lock_idle().put(con);
+        }
     }
 
-    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<Connection>> {
+    fn lock_idle(&self) -> MutexGuard<'_, Idle> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns how many connections are idle and leased.
+    fn lock_reconnect(&self) -> MutexGuard<'_, Reconnect> {
+        self.reconnect
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how many connections are idle, and how many more may be leased.
     pub(crate) fn connections(&self) -> (usize, usize) {
         (self.lock_idle().len(), self.leases.available_permits())
     }
 
+    /// Returns the condition that the view gives the upstream.
+    pub(crate) fn condition(&self) -> Condition {
+        *self.condition.borrow()
+    }
+
+    /// Waits until work routed by `term` must not start any more.
+    pub(crate) async fn until_ended(&self, term: Term) -> Ended {
+        condition::until_ended(self.condition.subscribe(), term).await
+    }
+
+    /// Takes the view's term and leaving mark over; a term only ever grows.
+    pub(crate) fn fit(&self, term: Term, leaving: bool) {
+        let changed = self.condition.send_if_modified(|condition| {
+            let old = *condition;
+            condition.term = old.term.max(term);
+            condition.leaving = leaving.then(|| old.leaving.unwrap_or_else(Instant::now));
+            *condition != old
+        });
+        if !changed {
+            return;
+        }
+        let condition = self.condition();
+        tracing::info!(event = "upstream_changed", group = %self.key.group, upstream = %self.key.upstream, term = %condition.term, leaving);
+        self.known.begin_term(condition.term);
+        self.confirmations.begin_term();
+        self.lock_idle().prune(condition.term, Instant::now());
+    }
+
+    /// Closes connections that are not needed, and opens one ahead of need.
+    pub(crate) async fn keep_warm(self: Arc<Self>) {
+        let Ok(_warming) = self.warming.try_lock() else {
+            return;
+        };
+        let condition = self.condition();
+        if condition.term == Term::default() {
+            return;
+        }
+        self.lock_idle().prune(condition.term, Instant::now());
+        if condition.leaving.is_some() || self.is_unused() {
+            self.lock_idle().clear();
+            return;
+        }
+        let Ok(_permit) = Arc::clone(&self.leases).try_acquire_owned() else {
+            return;
+        };
+        let leased = self.usable.saturating_sub(self.leases.available_permits());
+        if self.lock_idle().len() >= WARM_CONNECTIONS
+            || leased + self.lock_idle().len() > self.usable
+        {
+            return;
+        }
+        match self
+            .open(condition.term, Instant::now() + CONNECT_TIMEOUT)
+            .await
+        {
+            Ok(con) => self.put_idle(con),
+            Err(e) => {
+                tracing::debug!(event = "warm_connection_failed", upstream = %self.key.upstream, error = %e);
+            }
+        }
+    }
+
+    fn is_unused(&self) -> bool {
+        let used = self.used.lock().unwrap_or_else(PoisonError::into_inner);
+        used.elapsed() > UNUSED_TIME
+    }
+
+    fn mark_used(&self) {
+        *self.used.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
     /// Waits until the upstream is known to have applied `floor`; `false` when it is still behind.
     pub(crate) async fn reach(&self, floor: Position, until: Instant) -> bool {
         self.poll(until, |known| known.covers(floor)).await
--- a/crates/pool/src/upstream/confirmations.rs
+++ b/crates/pool/src/upstream/confirmations.rs
@@ -1,8 +1,13 @@
 //! Confirmations by a primary's replicas, each round shared by every request that waits.
 
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use mustardbay_policy::position::Position;
+use mustardbay_policy::standing::Standing;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -18,13 +23,21 @@
 /// Time that the answer of a round may take beyond the time given to the upstream.
 const ROUND_GRACE: Duration = Duration::from_millis(100);
 
+/// Time between two probes of a primary whose last round failed.
+const PROBE_PERIOD: Duration = Duration::from_millis(100);
+/// Time that a probe may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Rounds of confirmation at one upstream.
 #[derive(Debug)]
 pub(crate) struct Confirmations {
     received: mpsc::Sender<Waiter>,
     confirmed: mpsc::Sender<Waiter>,
+    standing: SharedStanding,
 }
 
+type SharedStanding = Arc<Mutex<Standing>>;
+
 /// Request that waits for a round.
 #[derive(Debug)]
 struct Waiter {
@@ -37,12 +50,29 @@
 impl Confirmations {
     /// Starts the rounds; they open their connections on first use.
     pub(super) fn start(target: &Target) -> Self {
+        let standing = SharedStanding::default();
         Self {
-            received: start_rounds(target.clone()),
-            confirmed: start_rounds(target.clone()),
+            received: start_rounds(target.clone(), Arc::clone(&standing)),
+            confirmed: start_rounds(target.clone(), Arc::clone(&standing)),
+            standing,
         }
     }
 
+    /// Tells whether the primary's replicas have been silent for longer than `bound`.
+    pub(crate) fn is_suspect(&self, bound: Duration) -> bool {
+        lock(&self.standing).is_suspect(Instant::now().into_std(), bound)
+    }
+
+    /// Tells whether a round has begun since the last confirmation.
+    pub(crate) fn is_waiting(&self) -> bool {
+        lock(&self.standing).is_waiting()
+    }
+
+    /// Forgets the standing of an older term.
+    pub(super) fn begin_term(&self) {
+        *lock(&self.standing) = Standing::default();
+    }
+
     /// Waits until a replica has received `position`.
     pub(crate) async fn wait_received(
         &self,
@@ -79,24 +109,58 @@
     }
 }
 
-fn start_rounds(target: Target) -> mpsc::Sender<Waiter> {
+fn lock(standing: &Mutex<Standing>) -> MutexGuard<'_, Standing> {
+    standing.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn start_rounds(target: Target, standing: SharedStanding) -> mpsc::Sender<Waiter> {
     let (send, inbox) = mpsc::channel(QUEUE);
-    tokio::spawn(run_rounds(target, inbox));
+    tokio::spawn(run_rounds(target, inbox, standing));
     send
 }
 
-async fn run_rounds(target: Target, mut inbox: mpsc::Receiver<Waiter>) {
+async fn run_rounds(target: Target, mut inbox: mpsc::Receiver<Waiter>, standing: SharedStanding) {
     let mut con = None;
-    while let Some(first) = inbox.recv().await {
-        let mut waiting = vec![first];
+    loop {
+        let mut waiting = match next_waiter(&mut inbox, &standing).await {
+            Next::Waiter(first) => vec![first],
+            Next::Probe => Vec::new(),
+            Next::Closed => return,
+        };
         while let Ok(next) = inbox.try_recv() {
             waiting.push(next);
         }
+        lock(&standing).wait(Instant::now().into_std());
         let result = run_round(&target, &mut con, &waiting).await;
+        if result.is_ok() {
+            lock(&standing).confirm();
+        }
         answer_round(waiting, &result);
     }
 }
 
+/// What a round is for.
+enum Next {
+    /// A request waits.
+    Waiter(Waiter),
+    /// Nobody waits, but the last round failed.
+    Probe,
+    /// The upstream is served no longer.
+    Closed,
+}
+
+async fn next_waiter(inbox: &mut mpsc::Receiver<Waiter>, standing: &Mutex<Standing>) -> Next {
+    loop {
+        let next = timeout(PROBE_PERIOD, inbox.recv()).await;
+        match next {
+            Ok(Some(waiter)) => return Next::Waiter(waiter),
+            Ok(None) => return Next::Closed,
+            Err(_) if lock(standing).is_waiting() => return Next::Probe,
+            Err(_) => {}
+        }
+    }
+}
+
 /// Runs one round for the furthest position that is waited for.
 async fn run_round(
     target: &Target,
@@ -104,7 +168,8 @@
     waiting: &[Waiter],
 ) -> Result<Position, UpstreamError> {
     let now = Instant::now();
-    let until = waiting.iter().map(|w| w.until).max().unwrap_or(now);
+    let probe_end = now + PROBE_TIMEOUT;
+    let until = waiting.iter().map(|w| w.until).max().unwrap_or(probe_end);
     let left = until.saturating_duration_since(now);
     let position = waiting.iter().filter_map(|w| w.position).max();
     let round = async {
--- a/crates/pool/src/upstream/error.rs
+++ b/crates/pool/src/upstream/error.rs
@@ -1,5 +1,7 @@
 //! Failures at an upstream.
 
+use std::time::Duration;
+
 use pgwire::error::PgWireClientError;
 use pgwire::error::PgWireError;
 use thiserror::Error;
@@ -37,6 +39,9 @@
     /// The upstream sent something else than expected.
     #[error("unexpected answer: {0}")]
     Protocol(&'static str),
+    /// The last attempt to connect failed, and the next one is not due yet.
+    #[error("upstream cannot be reached")]
+    Paused(Duration),
     /// No answer came in time.
     #[error("no answer in time")]
     Timeout,
--- a/crates/pool/src/upstream/slots.rs
+++ b/crates/pool/src/upstream/slots.rs
@@ -124,6 +124,11 @@
         state.dispatch();
     }
 
+    /// Returns how many transactions are open between their statements.
+    pub(crate) fn transactions(&self) -> usize {
+        self.lock().queue.transactions()
+    }
+
     /// Returns how many statements run and how many wait.
     pub(crate) fn load(&self) -> (usize, usize) {
         self.lock().queue.load()
--- a/crates/pool/tests/pool/fixture.rs
+++ b/crates/pool/tests/pool/fixture.rs
@@ -18,6 +18,7 @@
 use mustardbay_pool::Pool;
 use mustardbay_pool::PoolSettings;
 use mustardbay_process::lifecycle::Lifecycle;
+use mustardbay_process::metrics::Metrics;
 
 use crate::entry::Entry;
 use crate::fake_steward::FakeSteward;
@@ -26,6 +27,7 @@
 /// Running pool and everything around it.
 pub struct Fixture {
     pub pool: Pool,
+    pub life: Lifecycle,
     pub address: String,
     pub steward: FakeSteward,
     pub primary: FakeUpstream,
@@ -63,16 +65,24 @@
                 password: "secret".to_owned(),
             },
             queue: Discipline::Fair,
+            drain_ms: 10_000,
         };
+        let life = Lifecycle::new();
         let link = StewardLink::start(steward.address.clone(), "pool", 1);
         let mut changes = link.changes();
         while link.view().is_none() {
             changes.changed().await.expect("view");
         }
-        let pool = Pool::new(settings, link, Lifecycle::new());
+        let pool = Pool::new(
+            settings,
+            link,
+            life.clone(),
+            &Metrics::new().expect("metrics").meter(),
+        );
         let address = pool.serve().await.expect("bind").to_string();
         Self {
             pool,
+            life,
             address,
             steward,
             primary,
