--- a/crates/policy/src/queue/slots.rs
+++ b/crates/policy/src/queue/slots.rs
@@ -87,8 +87,11 @@
     }
 
     /// Changes the number of slots; statements that run are not stopped.
-    pub fn resize(&mut self, slots: usize) {
-        self.slots = slots.max(1);
+    ///
+    /// Returns whether the number is another one.
+    pub fn resize(&mut self, slots: usize) -> bool {
+        let old = std::mem::replace(&mut self.slots, slots.max(1));
+        old != self.slots
     }
 
     /// Asks for a slot.
@@ -192,6 +195,12 @@
         self.transactions = self.transactions.saturating_sub(1);
     }
 
+    /// Returns how many transactions are open between their statements.
+    #[must_use]
+    pub fn transactions(&self) -> usize {
+        self.transactions
+    }
+
     /// Returns how many statements run and how many wait.
     #[must_use]
     pub fn load(&self) -> (usize, usize) {
--- a/crates/pool/src/request/serve.rs
+++ b/crates/pool/src/request/serve.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use mustardbay_policy::position::Position;
 use mustardbay_policy::position::Term;
 use mustardbay_policy::queue::Class;
@@ -11,6 +12,7 @@
 use mustardbay_wire::ConfirmPosition;
 use mustardbay_wire::Mode;
 use tokio::time::Instant;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
@@ -19,37 +21,44 @@
 use super::cancel::send_cancel;
 use super::exchange::Summary;
 use super::exchange::exchange;
+use super::recorded::serve_recorded;
+use super::refusals::BUSY_RETRY;
+use super::refusals::cancelled;
+use super::refusals::draining;
+use super::refusals::leaving;
+use super::refusals::rejected;
+use super::refusals::stale;
+use super::refusals::unsupported;
 use super::session::Session;
 use super::session::roll_back;
 use crate::catalog::Catalog;
 use crate::server::Pool;
 use crate::upstream::Claim;
+use crate::upstream::Ended;
 use crate::upstream::Leased;
 use crate::upstream::SQLSTATE_TERM;
 use crate::upstream::SQLSTATE_TOO_MANY;
 use crate::upstream::Slot;
+use crate::upstream::Target;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamError;
 use crate::upstream::UpstreamKey;
 
-/// When a request is worth repeating after a change of the view.
-const VIEW_RETRY: Duration = Duration::from_millis(50);
-/// When a request is worth repeating after its upstream was busy.
-const BUSY_RETRY: Duration = Duration::from_millis(100);
 /// Time that a cancelled statement gets to end.
 const CANCEL_GRACE: Duration = Duration::from_secs(1);
 
 /// Upstream of a request and what the view says of it.
-struct Place {
-    upstream: Arc<Upstream>,
+pub(super) struct Place {
+    pool: Pool,
+    pub(super) upstream: Arc<Upstream>,
     primary: bool,
     catalog: Arc<Catalog>,
 }
 
 /// End of a request that was served.
-struct Served {
-    status: u8,
-    committed: Option<Position>,
+pub(super) struct Served {
+    pub(super) status: u8,
+    pub(super) committed: Option<Position>,
 }
 
 /// Serves one batch and answers it.
@@ -69,6 +78,7 @@
             if batch.mode == Mode::Continue {
                 session.end().await;
             }
+            pool.metrics().count_refusal(&refusal);
             tracing::debug!(event = "request_refused", account = %batch.account, reason = ?refusal.reason, outcome = ?refusal.outcome);
             answer.refuse(refusal, positions).await;
         }
@@ -82,17 +92,20 @@
     answer: &mut Answer,
     cancel: &CancellationToken,
 ) -> Result<Served, Refusal> {
-    let place = locate(pool, &batch.key, batch.term)?;
-    if batch.idempotency_key.is_some() {
-        return Err(unsupported("request records"));
+    let place = locate(pool, &batch.key)?;
+    check_open(pool, &place, batch)?;
+    match (&batch.idempotency_key, batch.mode) {
+        (None, _) | (Some(_), Mode::Read) => {}
+        (Some(_), Mode::Write) => {
+            return serve_recorded(&place, session, batch, answer, cancel).await;
+        }
+        (Some(_), _) => return Err(unsupported("request ids need a statement of their own")),
     }
-    let (leased, slot) = tokio::select! {
-        biased;
-        () = cancel.cancelled() => return Err(cancelled()),
-        prepared = prepare(&place, session, batch) => prepared?,
-    };
+    let (leased, slot) = prepare_unless_ended(&place, session, batch, cancel).await?;
+    let started = Instant::now();
     let (leased, summary) = run(leased, batch, answer, cancel).await?;
     drop(slot);
+    pool.metrics().record_service(started.elapsed());
     if let Some(error) = &summary.rejection {
         roll_back(leased).await;
         return Err(rejected(error));
@@ -102,6 +115,7 @@
     } else {
         session.hold(leased);
     }
+    let settling = Instant::now();
     let committed = match settle(&place, batch, &summary).await {
         Ok(committed) => committed,
         Err(refusal) => {
@@ -109,6 +123,9 @@
             return Err(refusal);
         }
     };
+    if committed.is_some() {
+        pool.metrics().record_durable_wait(settling.elapsed());
+    }
     answer.flush().await;
     if !summary.held.is_empty() {
         answer.send_chunk(summary.held.freeze()).await;
@@ -119,6 +136,30 @@
     })
 }
 
+/// Prepares a batch, unless it is cancelled or its upstream takes no new work any more.
+pub(super) async fn prepare_unless_ended(
+    place: &Place,
+    session: &mut Session,
+    batch: &Batch,
+    cancel: &CancellationToken,
+) -> Result<(Leased, Slot), Refusal> {
+    let ended = async {
+        if batch.mode == Mode::Continue {
+            std::future::pending::<()>().await;
+        }
+        place.upstream.until_ended(batch.term).await
+    };
+    let began = Instant::now();
+    let prepared = tokio::select! {
+        biased;
+        () = cancel.cancelled() => return Err(cancelled()),
+        ended = ended => return Err(refuse_ended(ended)),
+        prepared = prepare(place, session, batch) => prepared?,
+    };
+    place.pool.metrics().record_slot_wait(began.elapsed());
+    Ok(prepared)
+}
+
 /// Waits for a slot and a connection; nothing is sent before this returns.
 async fn prepare(
     place: &Place,
@@ -149,30 +190,67 @@
     })
 }
 
-/// Finds the upstream and checks the request's term against the view's.
-fn locate(pool: &Pool, key: &UpstreamKey, term: Term) -> Result<Place, Refusal> {
+/// Finds the upstream in the view.
+fn locate(pool: &Pool, key: &UpstreamKey) -> Result<Place, Refusal> {
     let Some(view) = pool.view() else {
         return Err(stale("pool has no view yet"));
     };
     let Some(state) = view.groups.get(&key.group) else {
         return Err(stale("group is not known"));
     };
-    if state.term != term {
-        return Err(stale(format!("term {} is in force", state.term)));
-    }
     let catalog = pool.catalog(&view);
     let Some(upstream) = pool.upstream(&catalog, key) else {
         return Err(stale("upstream is not in the bundle"));
     };
-    upstream.known.begin_term(term);
+    let leaving = catalog.upstream(key).is_some_and(|entry| entry.leaving);
+    upstream.fit(state.term, leaving);
     Ok(Place {
+        pool: pool.clone(),
         upstream,
         primary: state.primary.as_ref() == Some(&key.upstream),
         catalog,
     })
 }
 
+/// Checks that new work may start: the process serves, the term is in force, the upstream stays,
+/// and a primary's replicas confirm what it writes.
+fn check_open(pool: &Pool, place: &Place, batch: &Batch) -> Result<(), Refusal> {
+    if batch.mode == Mode::Continue {
+        return Ok(());
+    }
+    if pool.life().is_draining() {
+        return Err(draining());
+    }
+    check_condition(place, batch.term)?;
+    let bound = Duration::from_millis(place.catalog.bundle.limits.suspect_ms);
+    if place.primary && batch.may_commit() && place.upstream.confirmations.is_suspect(bound) {
+        return Err(Refusal::not_run(
+            Reason::NoPrimary,
+            "no replica confirms the primary",
+            Some(BUSY_RETRY),
+        ));
+    }
+    Ok(())
+}
+
+fn check_condition(place: &Place, term: Term) -> Result<(), Refusal> {
+    match place.upstream.condition().ended(term) {
+        Some(ended) => Err(refuse_ended(ended)),
+        None => Ok(()),
+    }
+}
+
+fn refuse_ended(ended: Ended) -> Refusal {
+    match ended {
+        Ended::Term(term) => stale(format!("term {term} is in force")),
+        Ended::Leaving => leaving(),
+    }
+}
+
 fn held(session: &mut Session, batch: &Batch) -> Result<Leased, Refusal> {
+    if session.is_overdue() {
+        return Err(stale("the transaction's term or upstream has ended"));
+    }
     session.take(&batch.key).ok_or_else(|| {
         Refusal::not_run(
             Reason::ConnectionLost,
@@ -209,14 +287,17 @@
 
 async fn lease(place: &Place, batch: &Batch) -> Result<Leased, Refusal> {
     let leased = place.upstream.lease(batch.term, batch.deadline).await;
-    leased.map_err(|e| match e.code() {
-        Some(SQLSTATE_TERM | SQLSTATE_TOO_MANY) => rejected(&e),
+    leased.map_err(|e| match (e.code(), &e) {
+        (Some(SQLSTATE_TERM | SQLSTATE_TOO_MANY), _) => rejected(&e),
+        (_, UpstreamError::Paused(pause)) => {
+            Refusal::not_run(Reason::NoUpstream, e.to_string(), Some(*pause))
+        }
         _ => Refusal::not_run(Reason::NoUpstream, e.to_string(), Some(BUSY_RETRY)),
     })
 }
 
 /// Exchanges the batch; the connection comes back only if its answer was read to the end.
-async fn run(
+pub(super) async fn run(
     mut leased: Leased,
     batch: &Batch,
     answer: &mut Answer,
@@ -225,7 +306,7 @@
     let target = leased.upstream.target.clone();
     let message = leased.con.cancel_message();
     let upstream = Arc::clone(&leased.upstream);
-    let mut ended = {
+    let ended = {
         let work = timeout_at(
             batch.deadline + CANCEL_GRACE,
             exchange(&mut leased.con, batch, answer),
@@ -240,15 +321,13 @@
         tokio::select! {
             ended = &mut work => ended,
             () = stopped => match &message {
-                Some(message) => tokio::join!(work, send_cancel(&target, message)).0,
+                Some(message) => cancel_and_wait(work, &target, message).await,
                 None => work.await,
             },
         }
     };
-    if let Ok(Ok(summary)) = &mut ended {
-        for report in summary.reports.drain(..) {
-            upstream.known.report(report);
-        }
+    if let Ok(Ok(summary)) = &ended {
+        upstream.known.report_all(&summary.reports);
     }
     match ended {
         Ok(Ok(summary)) => Ok((leased, summary)),
@@ -260,6 +339,22 @@
     }
 }
 
+/// Waits for the end of work that is being cancelled.
+///
+/// Where the cancel request may still be under way, the work counts as failed, so that its
+/// connection is closed and the request cannot hit a later statement.
+async fn cancel_and_wait(
+    work: impl Future<Output = Result<Result<Summary, UpstreamError>, Elapsed>>,
+    target: &Target,
+    message: &Bytes,
+) -> Result<Result<Summary, UpstreamError>, Elapsed> {
+    let (ended, sent) = tokio::join!(work, send_cancel(target, message));
+    match ended {
+        Ok(Ok(_)) if !sent => Ok(Err(UpstreamError::Protocol("cancel request not confirmed"))),
+        ended => ended,
+    }
+}
+
 /// Waits until what the batch committed is durable, and returns its position.
 async fn settle(
     place: &Place,
@@ -269,10 +364,16 @@
     let Some(position) = summary.committed().filter(|_| batch.may_commit()) else {
         return Ok(None);
     };
+    wait_durable(place, position).await?;
+    Ok(Some(position))
+}
+
+/// Waits until a replica has received `position`.
+pub(super) async fn wait_durable(place: &Place, position: Position) -> Result<(), Refusal> {
     let until = Instant::now() + Duration::from_millis(place.catalog.bundle.limits.durable_ms);
     let confirmations = &place.upstream.confirmations;
     match confirmations.wait_received(position, until).await {
-        Ok(_) => Ok(Some(position)),
+        Ok(_) => Ok(()),
         Err(e) => Err(Refusal::unknown(Reason::NotDurable, e.to_string())),
     }
 }
@@ -284,7 +385,11 @@
         group: request.group.into(),
         upstream: request.upstream.into(),
     };
-    let confirmed = match locate(&pool, &key, Term(request.term)) {
+    let place = locate(&pool, &key).and_then(|place| {
+        check_condition(&place, Term(request.term))?;
+        Ok(place)
+    });
+    let confirmed = match place {
         Ok(place) if place.primary => confirm(&place.upstream, until).await,
         Ok(_) => Err(stale("upstream is not the primary")),
         Err(refusal) => Err(refusal),
@@ -302,29 +407,3 @@
         _ => Refusal::not_run(Reason::NoPrimary, e.to_string(), Some(BUSY_RETRY)),
     })
 }
-
-/// Refuses a request of which the upstream said that it ran nothing.
-fn rejected(error: &UpstreamError) -> Refusal {
-    let (reason, after) = match error.code() {
-        Some(SQLSTATE_TERM) => (Reason::StaleTerm, VIEW_RETRY),
-        Some(SQLSTATE_TOO_MANY) => (Reason::Overloaded, BUSY_RETRY),
-        _ => (Reason::NoPrimary, VIEW_RETRY),
-    };
-    Refusal::not_run(reason, error.to_string(), Some(after))
-}
-
-fn stale(message: impl Into<String>) -> Refusal {
-    Refusal::not_run(Reason::StaleTerm, message, Some(VIEW_RETRY))
-}
-
-fn cancelled() -> Refusal {
-    Refusal::not_run(Reason::Cancelled, "cancelled before it ran", None)
-}
-
-fn unsupported(what: &str) -> Refusal {
-    Refusal::not_run(
-        Reason::Unsupported,
-        format!("{what} are not supported"),
-        None,
-    )
-}
--- a/crates/pool/src/upstream/slots.rs
+++ b/crates/pool/src/upstream/slots.rs
@@ -80,6 +80,14 @@
         })
     }
 
+    /// Changes the number of slots.
+    pub(super) fn resize(&self, slots: u32) {
+        let mut state = self.lock();
+        if state.queue.resize(slots as usize) {
+            state.dispatch();
+        }
+    }
+
     /// Waits for a slot.
     pub(crate) async fn acquire(self: &Arc<Self>, claim: Claim) -> Result<Slot, Crowded> {
         let deadline = claim.deadline;
@@ -116,6 +124,11 @@
         state.dispatch();
     }
 
+    /// Returns how many transactions are open between their statements.
+    pub(crate) fn transactions(&self) -> usize {
+        self.lock().queue.transactions()
+    }
+
     /// Returns how many statements run and how many wait.
     pub(crate) fn load(&self) -> (usize, usize) {
         self.lock().queue.load()
