--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -44,13 +44,22 @@
 impl Gateway {
     /// Creates a client of the gateways at `endpoints`, tried in turn.
     ///
-    /// Connections leave from `source`, if one is given.
-    ///
     /// # Errors
     ///
     /// Fails if the HTTP client cannot be set up.
     pub fn new(
         endpoints: impl IntoIterator<Item = impl Into<String>>,
+    ) -> Result<Self, PlatformError> {
+        Self::with_source(endpoints, None)
+    }
+
+    /// Creates a client whose connections leave from `source`, if one is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the HTTP client cannot be set up.
+    pub fn with_source(
+        endpoints: impl IntoIterator<Item = impl Into<String>>,
         source: Option<IpAddr>,
     ) -> Result<Self, PlatformError> {
         let http = reqwest::Client::builder()
--- a/crates/steward/src/start.rs
+++ b/crates/steward/src/start.rs
@@ -119,7 +119,7 @@
 ///
 /// Fails if an address cannot be bound or a client cannot be set up.
 pub async fn start(settings: StewardSettings) -> Result<Running, StartError> {
-    let gateway = Gateway::new(settings.platform.clone(), settings.source)?;
+    let gateway = Gateway::with_source(settings.platform.clone(), settings.source)?;
     start_with(settings, Arc::new(gateway)).await
 }
 
