--- /dev/null
+++ b/crates/steward/tests/steward/local.rs
@@ -0,0 +1,37 @@
+//! What the entry and the pool of the same virtual machine get.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardbay_link::StewardLink;
+use mustardbay_policy::view::View;
+
+use crate::site::Site;
+use crate::site::eventually_version;
+
+async fn first_view(link: &StewardLink) -> Arc<View> {
+    let waiting = async {
+        loop {
+            if let Some(view) = link.view() {
+                return view;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let view = tokio::time::timeout(Duration::from_secs(20), waiting).await;
+    view.expect("the steward pushes a view")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn local_program_restarted_gets_the_view() {
+    let site = Site::start().await;
+    let stewards = site.stewards().await;
+    site.submit(&site.bundle(1), &site.signer);
+    eventually_version(&stewards[0], 1).await;
+    for incarnation in 1..=2 {
+        let link = StewardLink::start(stewards[0].local().to_string(), "entry", incarnation);
+        let view = first_view(&link).await;
+        assert_eq!(view.bundle.version.0, 1);
+        assert!(view.vms.contains_key(&"vm1".into()));
+    }
+}
--- /dev/null
+++ b/crates/steward/tests/steward/main.rs
@@ -0,0 +1,7 @@
+//! Stewards in one process against stand-ins of the platform and of upstreams.
+
+mod bundles;
+mod groups;
+mod local;
+mod members;
+mod site;
--- /dev/null
+++ b/crates/steward/tests/steward/members.rs
@@ -0,0 +1,75 @@
+//! Who is in the view.
+
+use mustardbay_lab::platform::Mode;
+use mustardbay_policy::names::VmName;
+use mustardbay_policy::view::View;
+
+use crate::site::Site;
+use crate::site::drain;
+use crate::site::eventually;
+
+fn names(view: &View) -> Vec<&str> {
+    view.vms.keys().map(VmName::as_str).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn members_find_each_other() {
+    let site = Site::start().await;
+    let stewards = site.stewards().await;
+    for steward in &stewards {
+        let all = |view: &View| names(view) == ["vm1", "vm2", "vm3"];
+        eventually("all are members", steward, all).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn members_forget_one_that_drained() {
+    let site = Site::start().await;
+    let mut stewards = site.stewards().await;
+    for steward in &stewards {
+        eventually("all are members", steward, |view| view.vms.len() == 3).await;
+    }
+    let last = stewards.remove(2);
+    drain(last).await;
+    for steward in &stewards {
+        let left = |view: &View| names(view) == ["vm1", "vm2"];
+        eventually("the drained one is gone", steward, left).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn members_join_during_outage() {
+    let site = Site::start().await;
+    let stewards = site.stewards().await;
+    for steward in &stewards {
+        eventually("all are members", steward, |view| view.vms.len() == 3).await;
+    }
+    site.platform.switch(Mode::Down);
+    let late = site
+        .steward("vm4", vec![stewards[1].peers().to_string()])
+        .await;
+    for steward in stewards.iter().chain([&late]) {
+        eventually("the newcomer is a member", steward, |view| {
+            view.vms.len() == 4
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn members_listed_as_leaving() {
+    let site = Site::start().await;
+    let stewards = site.stewards().await;
+    for steward in &stewards {
+        eventually("all are members", steward, |view| view.vms.len() == 3).await;
+    }
+    let entry = format!(
+        r#"{{"domain":"domain-vm2","peer":"{}","pool":"127.0.0.1:1","leaving":true}}"#,
+        stewards[1].peers()
+    );
+    site.platform.put("vms/vm2", &entry);
+    for steward in &stewards {
+        let leaving = |view: &View| view.vms.get(&"vm2".into()).is_some_and(|vm| vm.leaving);
+        eventually("vm2 is leaving", steward, leaving).await;
+    }
+}
--- /dev/null
+++ b/crates/steward/tests/steward/site.rs
@@ -0,0 +1,153 @@
+//! Platform, upstreams and stewards of one test.
+
+use std::time::Duration;
+
+use mustardbay_lab::platform::Config as PlatformConfig;
+use mustardbay_lab::platform::Platform;
+use mustardbay_lab::upstream::Config as UpstreamConfig;
+use mustardbay_lab::upstream::Upstream;
+use mustardbay_policy::bundle::Bundle;
+use mustardbay_policy::bundle::BundleVersion;
+use mustardbay_policy::bundle::Group;
+use mustardbay_policy::bundle::Head;
+use mustardbay_policy::bundle::Signer;
+use mustardbay_policy::bundle::Tree;
+use mustardbay_policy::bundle::Upstream as UpstreamEntry;
+use mustardbay_policy::view::View;
+use mustardbay_steward::Login;
+use mustardbay_steward::Running;
+use mustardbay_steward::StewardSettings;
+use mustardbay_steward::start;
+
+/// Longest wait for a condition that must come true.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Time between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Group that every site has.
+pub const GROUP: &str = "ledger";
+
+pub struct Site {
+    pub platform: Platform,
+    pub signer: Signer,
+    pub upstreams: Vec<Upstream>,
+}
+
+impl Site {
+    pub async fn start() -> Self {
+        let platform = Platform::start(&PlatformConfig::default()).await;
+        let mut upstreams = Vec::new();
+        for name in ["u1", "u2", "u3"] {
+            let config = UpstreamConfig {
+                name: name.to_owned(),
+                ..UpstreamConfig::default()
+            };
+            upstreams.push(Upstream::start(config).await.expect("upstream starts"));
+        }
+        Self {
+            platform: platform.expect("platform starts"),
+            signer: Signer::generate(&mut rand::rng()),
+            upstreams,
+        }
+    }
+
+    /// Starts a steward; without `listed` the platform does not know of it.
+    pub async fn steward(&self, vm: &str, seeds: Vec<String>) -> Running {
+        let settings = StewardSettings {
+            vm: vm.into(),
+            domain: format!("domain-{vm}").into(),
+            local: "127.0.0.1:0".to_owned(),
+            peers: "127.0.0.1:0".to_owned(),
+            advertise: None,
+            seeds,
+            pool: "127.0.0.1:1".to_owned(),
+            admin: "127.0.0.1:0".to_owned(),
+            platform: vec![self.platform.url()],
+            signers: vec![self.signer.id().to_string()],
+            login: Login {
+                user: "mustardbay".to_owned(),
+                password: "secret".to_owned(),
+            },
+            source: None,
+        };
+        start(settings).await.expect("steward starts")
+    }
+
+    /// Starts three stewards that the platform lists.
+    pub async fn stewards(&self) -> Vec<Running> {
+        let mut stewards = Vec::new();
+        for vm in ["vm1", "vm2", "vm3"] {
+            let steward = self.steward(vm, Vec::new()).await;
+            let entry = format!(
+                r#"{{"domain":"domain-{vm}","peer":"{}","pool":"127.0.0.1:1"}}"#,
+                steward.peers()
+            );
+            self.platform.put(&format!("vms/{vm}"), &entry);
+            stewards.push(steward);
+        }
+        stewards
+    }
+
+    pub fn bundle(&self, version: u64) -> Bundle {
+        let names = ["u1", "u2", "u3"];
+        let upstreams = names.iter().zip(&self.upstreams);
+        let upstreams = upstreams.map(|(name, upstream)| UpstreamEntry {
+            name: (*name).into(),
+            address: upstream.address().to_string(),
+            domain: "domain-vm1".into(),
+            leaving: false,
+        });
+        Bundle {
+            version: BundleVersion(version),
+            groups: vec![Group {
+                name: GROUP.into(),
+                slots: 2,
+                connections: 22,
+                upstreams: upstreams.collect(),
+            }],
+            ..Bundle::default()
+        }
+    }
+
+    /// Writes a bundle to the platform, signed by `signer`.
+    pub fn submit(&self, bundle: &Bundle, signer: &Signer) {
+        let tree = Tree::build(bundle);
+        for chunk in &tree.chunks {
+            let key = format!("mustardbay/bundle/chunk/{}", chunk.hash);
+            let text = std::str::from_utf8(&chunk.bytes).expect("small bundles have only leaves");
+            self.platform.put(&key, text);
+        }
+        let head = Head::sign(bundle.version, tree.root, signer);
+        let json = serde_json::to_string(&head).expect("heads are valid JSON");
+        self.platform.put("mustardbay/bundle/head", &json);
+    }
+}
+
+/// Waits until the view of a steward satisfies a condition.
+pub async fn eventually(what: &str, steward: &Running, condition: impl Fn(&View) -> bool) {
+    let mut view = steward.board().view();
+    let waiting = async {
+        while !condition(&view) {
+            tokio::time::sleep(LOOK).await;
+            view = steward.board().view();
+        }
+    };
+    let came = tokio::time::timeout(PATIENCE, waiting).await;
+    assert!(
+        came.is_ok(),
+        "{what} did not come true: {:?}",
+        steward.board().view()
+    );
+}
+
+/// Waits until a steward has a version of the bundle.
+pub async fn eventually_version(steward: &Running, version: u64) {
+    let has = |view: &View| view.bundle.version == BundleVersion(version);
+    eventually(&format!("version {version}"), steward, has).await;
+}
+
+/// Ends a steward as a drain does.
+pub async fn drain(steward: Running) {
+    steward.life().drain();
+    steward.until_drained().await;
+}
