--- a/crates/entry/src/session/execute.rs
+++ b/crates/entry/src/session/execute.rs
@@ -39,6 +39,7 @@
 use crate::caller::parameter;
 use crate::caller::ready;
 use crate::caller::refusal;
+use crate::meters::Served;
 use crate::pools::PoolLink;
 use crate::session::End;
 use crate::session::Session;
@@ -72,6 +73,16 @@
     primary: bool,
 }
 
+impl Target {
+    fn served(&self) -> Served {
+        if self.primary {
+            Served::Primary
+        } else {
+            Served::Replica
+        }
+    }
+}
+
 /// Attempts of one batch.
 #[derive(Debug)]
 struct Tries {
@@ -108,7 +119,7 @@
 #[derive(Debug)]
 enum Outcome {
     /// The answer is whole.
-    Finished,
+    Finished(Served),
     /// It is refused.
     Refused(Refusal),
 }
@@ -116,6 +127,7 @@
 impl<S: Transport> Session<S> {
     /// Runs a batch and ends its answer.
     pub(super) async fn execute(&mut self, mut batch: Batch) -> Result<(), End> {
+        let began = Instant::now();
         if let Err(refused) = self.check_grant() {
             return Err(End::Refused(refused));
         }
@@ -139,12 +151,21 @@
             }
             Answerer::Upstream => {}
         }
+        if let Err(refused) = self.admit().await {
+            return self.end_unadmitted(&batch, &refused).await;
+        }
         let outcome = match self.transaction {
             Transaction::Held(_) => self.run_held(&mut batch).await?,
             _ => self.run_idle(&mut batch).await?,
         };
         match outcome {
-            Outcome::Finished => self.finish_answer().await,
+            Outcome::Finished(served) => {
+                self.finish_answer().await?;
+                self.ctx
+                    .meters
+                    .answered(batch.access(), served, began.elapsed());
+                Ok(())
+            }
             Outcome::Refused(refused) => self.end_refused(&refused).await,
         }
     }
@@ -172,6 +193,7 @@
 
     /// Refuses a batch; an open transaction is rolled back, as after any error.
     pub(super) async fn end_refused(&mut self, refused: &Refusal) -> Result<(), End> {
+        self.ctx.meters.refused(refused.reason);
         if let Transaction::Held(held) = &self.transaction {
             held.link.release(self.id);
             self.transaction = Transaction::Failed;
@@ -180,6 +202,31 @@
         self.finish_answer().await
     }
 
+    /// Spends a token of the account for one batch; open routes have no rate.
+    async fn admit(&self) -> Result<(), Refusal> {
+        let Some(rate) = &self.rate else {
+            return Ok(());
+        };
+        rate.admit().await.map_err(|after| {
+            let message = "account has spent its rate and burst";
+            Refusal::not_run(Reason::RateExceeded, message, Some(after))
+        })
+    }
+
+    /// Ends a batch that was not admitted; a rollback needs no upstream, so it is done anyway.
+    async fn end_unadmitted(&mut self, batch: &Batch, refused: &Refusal) -> Result<(), End> {
+        let rolls_back = |c: &StatementClass| *c == StatementClass::Rollback;
+        let only = !batch.classes().is_empty() && batch.classes().iter().all(rolls_back);
+        match &self.transaction {
+            Transaction::Held(held) if only => {
+                held.link.release(self.id);
+                self.transaction = Transaction::Idle;
+                self.answer_rollback(batch).await
+            }
+            _ => self.end_refused(refused).await,
+        }
+    }
+
     /// Answers a batch after the transaction was given up: only its end is accepted.
     async fn execute_failed(&mut self, batch: &Batch) -> Result<(), End> {
         let ends =
@@ -236,7 +283,7 @@
         Ok(match ended {
             Ended::Finished(done) => {
                 self.enter(&done, &target);
-                Outcome::Finished
+                Outcome::Finished(Served::Transaction)
             }
             Ended::Refused(refused) => Outcome::Refused(refused),
             Ended::NotSent => Outcome::Refused(not_sent()),
@@ -264,7 +311,7 @@
             let refused = match ended {
                 Ended::Finished(done) => {
                     self.enter(&done, &target);
-                    return Ok(Outcome::Finished);
+                    return Ok(Outcome::Finished(target.served()));
                 }
                 Ended::Refused(refused) => refused,
                 Ended::NotSent => not_sent(),
@@ -287,6 +334,7 @@
             if !again || Instant::now() >= deadline {
                 return Ok(Outcome::Refused(tries.last_word(refused)));
             }
+            self.ctx.meters.retried();
         }
     }
 
@@ -389,6 +437,7 @@
             self.fail(target);
             return Ok((Ended::NotSent, false));
         };
+        self.handle.run(&target.link, number);
         let mut request = Request {
             link: &target.link,
             number,
@@ -399,7 +448,9 @@
         };
         let ended = request
             .stream(&mut self.caller, &mut self.answers, &self.sight)
-            .await?;
+            .await;
+        self.handle.rest();
+        let ended = ended?;
         match &ended {
             Ended::Finished(_) => {
                 batch.settle(request.parsed, &mut self.statements);
