--- a/crates/steward/src/groups.rs
+++ b/crates/steward/src/groups.rs
@@ -1,6 +1,7 @@
 //! Actor around the monitors of the groups: it carries out their decisions.
 
 mod effects;
+mod history;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -32,9 +33,11 @@
 use crate::outbox::Outgoing;
 use crate::records;
 use crate::records::Records;
+use crate::stats::Stats;
 pub(crate) use effects::Effects;
 pub(crate) use effects::RECORD_PREFIX;
 pub(crate) use effects::parse_record;
+use history::History;
 
 /// Actor that owns the monitors of all groups.
 #[derive(Debug)]
@@ -45,6 +48,8 @@
     effects: Arc<Effects>,
     records: Arc<Records>,
     outbox: Outbox,
+    history: History,
+    stats: Arc<Stats>,
     monitors: BTreeMap<GroupName, Monitor>,
     itself: ActorRef<Self>,
 }
@@ -57,6 +62,7 @@
     pub(crate) effects: Arc<Effects>,
     pub(crate) records: Arc<Records>,
     pub(crate) outbox: Outbox,
+    pub(crate) stats: Arc<Stats>,
 }
 
 impl Actor for Groups {
@@ -71,6 +77,8 @@
             effects: args.effects,
             records: args.records,
             outbox: args.outbox,
+            history: History::default(),
+            stats: args.stats,
             monitors: BTreeMap::new(),
             itself: actor_ref,
         })
@@ -182,6 +190,12 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: Report, _ctx: &mut Context<Self, ()>) {
+        self.history.note(&msg.group, &msg.event);
+        match &msg.event {
+            Event::Swapped(recorded) => self.stats.count_swap(&recorded.record),
+            Event::Promoted(..) => self.stats.count_promotion(),
+            _ => {}
+        }
         self.handle_event(&msg.group, msg.event);
     }
 }
@@ -287,6 +301,9 @@
         let monitors: serde_json::Map<_, _> = monitors
             .map(|(name, monitor)| (name.as_str().to_owned(), monitor.dump(now)))
             .collect();
-        Description(monitors.into())
+        Description(serde_json::json!({
+            "monitors": monitors,
+            "history": self.history.dump(),
+        }))
     }
 }
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -17,6 +17,7 @@
 mod records;
 mod settings;
 mod start;
+mod stats;
 
 pub use board::Board;
 pub use cli::run;
--- a/crates/steward/src/parts.rs
+++ b/crates/steward/src/parts.rs
@@ -37,6 +37,7 @@
 use crate::rates::Rates;
 use crate::records::Records;
 use crate::settings::StewardSettings;
+use crate::stats::Stats;
 
 /// Longest time for leaving.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -52,6 +53,7 @@
     pub(crate) desk: ActorRef<RateDesk>,
     pub(crate) peers: ActorRef<Peers>,
     pub(crate) directory: ActorRef<Directory>,
+    pub(crate) stats: Arc<Stats>,
 }
 
 type DumpFuture = Pin<Box<dyn Future<Output = Value> + Send>>;
@@ -68,6 +70,7 @@
         let dialer = Dialer::new(settings.source);
         let incarnation = incarnation();
         let (outbox, outgoing) = Outbox::new();
+        let stats = Arc::new(Stats::default());
 
         let control = Control::new(settings.login.clone(), dialer);
         let groups = Groups::spawn(GroupsArgs {
@@ -79,6 +82,7 @@
             effects: Arc::new(Effects::new(Arc::clone(platform), control)),
             records: Arc::clone(&records),
             outbox: outbox.clone(),
+            stats: Arc::clone(&stats),
         });
         let bundles = Bundles::spawn(BundlesArgs {
             signers: settings.signer_ids(),
@@ -99,6 +103,7 @@
                 bundles: bundles.clone(),
                 desk: desk.clone(),
                 dialer,
+                stats: Arc::clone(&stats),
             },
             outgoing,
         });
@@ -117,6 +122,7 @@
             desk,
             peers,
             directory,
+            stats,
         }
     }
 
@@ -167,7 +173,7 @@
                     "bundle": bundles.ask(bundles::Dump).await.unwrap_or_default().0,
                     "vms": view.vms,
                     "groups": view.groups,
-                    "monitors": groups.ask(groups::Dump).await.unwrap_or_default().0,
+                    "promotion": groups.ask(groups::Dump).await.unwrap_or_default().0,
                     "peers": peers.ask(peers::Dump).await.unwrap_or_default().0,
                     "rates": desk.ask(rate_desk::Dump).await.unwrap_or_default().0,
                     "platform": directory.ask(directory::Dump).await.unwrap_or_default().0,
--- a/crates/steward/src/peers.rs
+++ b/crates/steward/src/peers.rs
@@ -43,6 +43,7 @@
 use crate::rate_desk;
 use crate::rate_desk::RateDesk;
 use crate::records::Records;
+use crate::stats::Stats;
 pub(crate) use accept::accept;
 use link::Link;
 
@@ -66,8 +67,6 @@
     next_beat: Duration,
     compared: BTreeMap<VmName, Duration>,
     pulled_at: Duration,
-    sent_bytes: u64,
-    sent_messages: u64,
     itself: ActorRef<Self>,
 }
 
@@ -80,6 +79,7 @@
     pub(crate) bundles: ActorRef<Bundles>,
     pub(crate) desk: ActorRef<RateDesk>,
     pub(crate) dialer: Dialer,
+    pub(crate) stats: Arc<Stats>,
 }
 
 /// What the actor starts with.
@@ -109,8 +109,6 @@
             next_beat: Duration::ZERO,
             compared: BTreeMap::new(),
             pulled_at: Duration::ZERO,
-            sent_bytes: 0,
-            sent_messages: 0,
             itself: actor_ref,
         };
         peers.post();
@@ -146,8 +144,7 @@
 
     fn send_to(&mut self, vm: &VmName, address: String, body: Body) {
         let message = self.message(body);
-        self.sent_bytes += message.wire_bytes() as u64;
-        self.sent_messages += 1;
+        self.targets.stats.count_peer_message(message.wire_bytes());
         if let Some(link) = self.links.get(vm)
             && link.address == address
         {
@@ -546,8 +543,8 @@
             "members": self.members.dump(self.now()),
             "fan_out": self.fan_out,
             "links": self.links.keys().collect::<Vec<_>>(),
-            "sent_messages": self.sent_messages,
-            "sent_bytes": self.sent_bytes,
+            "sent_messages": self.targets.stats.peer_messages(),
+            "sent_bytes": self.targets.stats.peer_bytes(),
         }))
     }
 }
--- a/crates/steward/src/start.rs
+++ b/crates/steward/src/start.rs
@@ -144,6 +144,9 @@
     let endpoint = Local::new(Arc::clone(&parts.board), parts.desk.clone());
     let local = endpoint.serve(&settings.local).await;
     let local = bound("local", &settings.local, local)?;
+    parts
+        .stats
+        .export(&metrics.meter(), &parts.board, &platform);
     let admin = Admin::new(life.clone(), metrics, parts.dumper(&settings, platform));
     let admin = bound("admin", &settings.admin, admin.serve(&settings.admin).await)?;
 
--- a/crates/steward/tests/steward/main.rs
+++ b/crates/steward/tests/steward/main.rs
@@ -1,5 +1,6 @@
 //! Stewards in one process against stand-ins of the platform and of upstreams.
 
+mod admin;
 mod bundles;
 mod groups;
 mod local;
