--- a/crates/steward/src/start.rs
+++ b/crates/steward/src/start.rs
@@ -119,7 +119,7 @@
 ///
 /// Fails if an address cannot be bound or a client cannot be set up.
 pub async fn start(settings: StewardSettings) -> Result<Running, StartError> {
-    let gateway = Gateway::new(settings.platform.clone(), settings.source)?;
+    let gateway = Gateway::with_source(settings.platform.clone(), settings.source)?;
     start_with(settings, Arc::new(gateway)).await
 }
 
@@ -144,6 +144,9 @@
     let endpoint = Local::new(Arc::clone(&parts.board), parts.desk.clone());
     let local = endpoint.serve(&settings.local).await;
     let local = bound("local", &settings.local, local)?;
+    parts
+        .stats
+        .export(&metrics.meter(), &parts.board, &platform);
     let admin = Admin::new(life.clone(), metrics, parts.dumper(&settings, platform));
     let admin = bound("admin", &settings.admin, admin.serve(&settings.admin).await)?;
 
