Hold rate shares in the steward

Cause: the steward granted every draw. Change: the escrow runs on real stewards: messages in wire/rates.rs, draws that wait a few milliseconds for loans of up to three peers, ledgers read by list once a minute and sooner only while something waits for them, reclaims by the one steward that a hash of account and owner names, deeds on leaving. The rate desk carries out the ledger calls outside of its own queue. Test: steward/tests/rates.rs (ledger created once, burst shared, loan, refusal time, dead and restarted owners reclaimed, hand-over during an outage, at most 70 reads of 7 stewards in 10 minutes).

--- a/crates/policy/src/escrow/holder/lending.rs
+++ b/crates/policy/src/escrow/holder/lending.rs
@@ -31,9 +31,6 @@
     /// Asks each of `peers` for `tokens` whole tokens and a fair part of the rate.
     pub fn ask(&mut self, peers: &[VmName], tokens: u64, now: Duration) -> Vec<(VmName, Ask)> {
         self.advance(now);
-        if self.left {
-            return Vec::new();
-        }
         self.asks.retain(|a| a.sent + ASK_TIMEOUT > now);
         let demand = self.demand.rate(now);
         let held = self.rate_parts();
--- a/crates/policy/src/escrow/holder/ownership.rs
+++ b/crates/policy/src/escrow/holder/ownership.rs
@@ -20,6 +20,7 @@
         if ledger.epoch < self.epoch || !ledger.is_valid() {
             return;
         }
+        let is_first = self.epoch == 0;
         self.epoch = ledger.epoch;
         self.own = ledger.parts(&self.id);
         self.deeds.retain(|owner, _| ledger.lists(owner));
@@ -27,6 +28,10 @@
             self.frozen = None;
         }
         self.resize();
+        if is_first && !self.is_frozen() {
+            // Parts that the first ledger gave to this life have never been spent from.
+            self.bucket.add(self.usable().of(self.burst));
+        }
     }
 
     /// Returns the deeds held whose owners the ledger still has to replace by this holder.
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -20,6 +20,11 @@
 
 pub use board::Board;
 pub use cli::run;
+pub use rates::LinkId;
+pub use rates::PlatformCall;
+pub use rates::Rates;
+pub use rates::RatesOutput;
+pub use rates::Reading;
 pub use settings::Login;
 pub use settings::StewardSettings;
 pub use start::Running;
--- a/crates/steward/src/parts.rs
+++ b/crates/steward/src/parts.rs
@@ -3,10 +3,12 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use kameo::actor::ActorRef;
 use kameo::actor::Spawn;
 use mustardbay_platform::Platform;
+use mustardbay_policy::escrow::HolderId;
 use mustardbay_policy::group::Proposer;
 use mustardbay_policy::view::VmState;
 use mustardbay_process::dialer::Dialer;
@@ -33,6 +35,7 @@
 use crate::peers::Targets;
 use crate::rate_desk;
 use crate::rate_desk::RateDesk;
+use crate::rates::LedgerStore;
 use crate::rates::Rates;
 use crate::records::Records;
 use crate::settings::StewardSettings;
@@ -79,7 +82,12 @@
             board: Arc::clone(&board),
             outbox: outbox.clone(),
         });
-        let desk = RateDesk::new(Rates::default(), Arc::clone(&board), outbox);
+        let rates = Rates::new(
+            HolderId::new(settings.vm.clone(), incarnation),
+            Instant::now(),
+        );
+        let store = LedgerStore::new(Arc::clone(platform));
+        let desk = RateDesk::new(rates, Arc::clone(&board), outbox, store);
         let desk = RateDesk::spawn(desk);
         let peers = Peers::spawn(PeersArgs {
             vm: settings.vm.clone(),
--- a/crates/steward/src/rate_desk.rs
+++ b/crates/steward/src/rate_desk.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use kameo::Actor;
+use kameo::actor::ActorRef;
 use kameo::message::Context;
 use kameo::message::Message;
 use mustardbay_policy::names::VmName;
@@ -18,9 +19,12 @@
 use crate::description::Description;
 use crate::outbox::Outbox;
 use crate::outbox::Outgoing;
+use crate::rates::LedgerStore;
 use crate::rates::LinkId;
+use crate::rates::PlatformCall;
 use crate::rates::Rates;
 use crate::rates::RatesOutput;
+use crate::rates::Reading;
 
 /// Actor that owns the rate shares.
 #[derive(Debug, Actor)]
@@ -28,30 +32,44 @@
     rates: Rates,
     board: Arc<Board>,
     outbox: Outbox,
+    store: LedgerStore,
     links: BTreeMap<LinkId, mpsc::Sender<GrantTokens>>,
 }
 
 impl RateDesk {
-    pub(crate) fn new(rates: Rates, board: Arc<Board>, outbox: Outbox) -> Self {
+    pub(crate) fn new(rates: Rates, board: Arc<Board>, outbox: Outbox, store: LedgerStore) -> Self {
         Self {
             rates,
             board,
             outbox,
+            store,
             links: BTreeMap::new(),
         }
     }
 
-    fn carry_out(&mut self, outputs: Vec<RatesOutput>) {
+    fn carry_out(&mut self, outputs: Vec<RatesOutput>, itself: &ActorRef<Self>) {
         for output in outputs {
             match output {
                 RatesOutput::Grant(link, grant) => self.grant(link, grant),
                 RatesOutput::Peer(vm, body) => {
                     self.outbox.send(Outgoing::To(vm, Body::Rates(body)));
                 }
+                RatesOutput::Platform(call) => self.call(call, itself.clone()),
             }
         }
     }
 
+    /// Calls the platform without holding up draws.
+    fn call(&self, call: PlatformCall, itself: ActorRef<Self>) {
+        let store = self.store.clone();
+        tokio::spawn(async move {
+            let reading = store.call(call).await;
+            if itself.tell(Read(reading)).await.is_err() {
+                tracing::debug!(event = "rate_desk_gone");
+            }
+        });
+    }
+
     /// Sends a grant; a program that does not read loses the tokens.
     fn grant(&self, link: LinkId, grant: GrantTokens) {
         let sent = self.links.get(&link).map(|reply| reply.try_send(grant));
@@ -72,7 +90,7 @@
 impl Message<Draw> for RateDesk {
     type Reply = ();
 
-    async fn handle(&mut self, msg: Draw, _ctx: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: Draw, ctx: &mut Context<Self, ()>) {
         let Draw {
             link,
             request,
@@ -80,7 +98,7 @@
         } = msg;
         self.links.entry(link).or_insert(reply);
         let outputs = self.rates.on_draw(link, request, Instant::now());
-        self.carry_out(outputs);
+        self.carry_out(outputs, ctx.actor_ref());
     }
 }
 
@@ -91,11 +109,11 @@
 impl Message<Disconnect> for RateDesk {
     type Reply = ();
 
-    async fn handle(&mut self, msg: Disconnect, _ctx: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: Disconnect, ctx: &mut Context<Self, ()>) {
         let Disconnect(link) = msg;
         self.links.remove(&link);
         let outputs = self.rates.on_disconnect(link, Instant::now());
-        self.carry_out(outputs);
+        self.carry_out(outputs, ctx.actor_ref());
     }
 }
 
@@ -109,9 +127,22 @@
 impl Message<FromPeer> for RateDesk {
     type Reply = ();
 
-    async fn handle(&mut self, msg: FromPeer, _ctx: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: FromPeer, ctx: &mut Context<Self, ()>) {
         let outputs = self.rates.on_peer(&msg.vm, &msg.body, Instant::now());
-        self.carry_out(outputs);
+        self.carry_out(outputs, ctx.actor_ref());
+    }
+}
+
+/// What the platform says about the ledgers; `None` if it gave no answer.
+#[derive(Debug)]
+struct Read(Option<Reading>);
+
+impl Message<Read> for RateDesk {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Read, ctx: &mut Context<Self, ()>) {
+        let outputs = self.rates.on_reading(msg.0, Instant::now());
+        self.carry_out(outputs, ctx.actor_ref());
     }
 }
 
@@ -122,11 +153,11 @@
 impl Message<Tick> for RateDesk {
     type Reply = ();
 
-    async fn handle(&mut self, _msg: Tick, _ctx: &mut Context<Self, ()>) {
+    async fn handle(&mut self, _msg: Tick, ctx: &mut Context<Self, ()>) {
         let now = Instant::now();
         let mut outputs = self.rates.on_view(&self.board.view(), now);
         outputs.extend(self.rates.tick(now));
-        self.carry_out(outputs);
+        self.carry_out(outputs, ctx.actor_ref());
     }
 }
 
@@ -137,9 +168,9 @@
 impl Message<HandBack> for RateDesk {
     type Reply = ();
 
-    async fn handle(&mut self, _msg: HandBack, _ctx: &mut Context<Self, ()>) {
+    async fn handle(&mut self, _msg: HandBack, ctx: &mut Context<Self, ()>) {
         let outputs = self.rates.hand_back(Instant::now());
-        self.carry_out(outputs);
+        self.carry_out(outputs, ctx.actor_ref());
     }
 }
 
--- /dev/null
+++ b/crates/steward/src/rates/share.rs
@@ -0,0 +1,248 @@
+//! Share of one account.
+
+mod ownership;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use mustardbay_policy::escrow::Borrowing;
+use mustardbay_policy::escrow::Deed;
+use mustardbay_policy::escrow::Draw;
+use mustardbay_policy::escrow::GRANT_VALIDITY;
+use mustardbay_policy::escrow::Holder;
+use mustardbay_policy::escrow::HolderId;
+use mustardbay_policy::escrow::Ledger;
+use mustardbay_policy::escrow::Loan;
+use mustardbay_policy::escrow::Message;
+use mustardbay_policy::escrow::Parts;
+use mustardbay_policy::escrow::Reclaim;
+use mustardbay_policy::names::VmName;
+use mustardbay_wire::DrawTokens;
+use mustardbay_wire::GrantTokens;
+use serde_json::Value;
+use serde_json::json;
+
+use super::LinkId;
+use super::fleet::Fleet;
+
+/// Shortest time that a refused program is told to wait.
+const SHORTEST_RETRY: Duration = Duration::from_millis(1);
+/// Longest time that a refused program is told to wait.
+const LONGEST_RETRY: Duration = Duration::from_secs(1);
+
+/// What a share wants to be sent.
+#[derive(Debug)]
+pub(super) enum ShareOutput {
+    /// Answer to a draw.
+    Grant(LinkId, GrantTokens),
+    /// Message to another steward.
+    Peer(VmName, Message),
+    /// Replacement of the ledger.
+    Swap {
+        /// Revision that it was read at.
+        expected: u64,
+        /// What it is to become.
+        ledger: Ledger,
+    },
+}
+
+/// Draw that waits for answers of peers.
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    link: LinkId,
+    request: u64,
+    wanted: u64,
+}
+
+/// Share of one account and what is under way about it.
+#[derive(Debug)]
+pub(super) struct Share {
+    holder: Holder,
+    borrowing: Borrowing,
+    pending: VecDeque<Pending>,
+    ledger: Option<(u64, Ledger)>,
+    reclaims: BTreeMap<HolderId, Reclaim>,
+    deed: Option<Deed>,
+    refused: u64,
+}
+
+impl Share {
+    pub(super) fn new(id: HolderId, limits: (u64, u64), now: Duration) -> Self {
+        Self {
+            holder: Holder::new(id, limits.0, limits.1, now),
+            borrowing: Borrowing::default(),
+            pending: VecDeque::new(),
+            ledger: None,
+            reclaims: BTreeMap::new(),
+            deed: None,
+            refused: 0,
+        }
+    }
+
+    pub(super) fn set_limits(&mut self, rate: u64, burst: u64, now: Duration) {
+        self.holder.set_limits(rate, burst, now);
+    }
+
+    /// Grants what is at hand, or asks peers first.
+    pub(super) fn on_draw(
+        &mut self,
+        link: LinkId,
+        draw: &DrawTokens,
+        fleet: &Fleet,
+        now: Duration,
+    ) -> Vec<ShareOutput> {
+        let pending = Pending {
+            link,
+            request: draw.request,
+            wanted: draw.wanted,
+        };
+        let drawn = self.holder.draw(link.0, draw.wanted, draw.spent, now);
+        if draw.wanted == 0 || matches!(drawn, Draw::Granted(_)) {
+            return vec![self.answer(pending, drawn, now)];
+        }
+        let mut outputs = self.ask(draw.wanted, fleet, now);
+        if self.borrowing.is_waiting(now) {
+            self.pending.push_back(pending);
+        } else {
+            outputs.push(self.answer(pending, drawn, now));
+        }
+        outputs
+    }
+
+    pub(super) fn on_disconnect(&mut self, link: LinkId) {
+        self.holder.on_drawer_gone(link.0);
+        self.pending.retain(|p| p.link != link);
+    }
+
+    pub(super) fn on_message(
+        &mut self,
+        from: &VmName,
+        message: Message,
+        fleet: &Fleet,
+        now: Duration,
+    ) -> Vec<ShareOutput> {
+        let reply = |message| vec![ShareOutput::Peer(from.clone(), message)];
+        match message {
+            Message::Ask(ask) => {
+                let (returns, loan) = self.holder.on_ask(from, ask, now);
+                let returns = returns.into_iter().map(Message::Return);
+                let messages = returns.chain([Message::Loan(loan)]);
+                messages
+                    .map(|m| ShareOutput::Peer(from.clone(), m))
+                    .collect()
+            }
+            Message::Loan(loan) => self.on_loan(from, loan, now),
+            Message::Return(back) => {
+                self.holder.on_return(from, back, now);
+                self.serve_pending(now)
+            }
+            Message::Deed(deed) => {
+                let taken = self.holder.on_deed(&deed, now);
+                taken.map_or_else(Vec::new, |owners| reply(Message::DeedTaken(owners)))
+            }
+            Message::DeedTaken(_) => {
+                self.deed = None;
+                Vec::new()
+            }
+            Message::Fence(owner) => {
+                let keep = self.holder.on_fence(&owner, now) || fleet.hears(&owner);
+                reply(Message::Fenced { owner, keep })
+            }
+            Message::Fenced { owner, keep } => {
+                if let Some(reclaim) = self.reclaims.get_mut(&owner) {
+                    reclaim.on_fenced(from.clone(), keep, now);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Brings the share up to date, refuses draws whose peers are silent, repeats a deed.
+    pub(super) fn tick(&mut self, now: Duration) -> Vec<ShareOutput> {
+        self.holder.advance(now);
+        let mut outputs = self.serve_pending(now);
+        if let Some(deed) = &self.deed {
+            let to = deed.heir.vm.clone();
+            outputs.push(ShareOutput::Peer(to, Message::Deed(deed.clone())));
+        }
+        outputs
+    }
+
+    /// Gives up every owned part.
+    pub(super) fn leave(&mut self, heir: HolderId, now: Duration) -> Vec<ShareOutput> {
+        if let Some(deed) = self.holder.leave(heir, now) {
+            self.deed = Some(deed);
+        }
+        self.tick(now)
+    }
+
+    pub(super) fn dump(&self) -> Value {
+        json!({
+            "holding": self.holder.holding(),
+            "ledger": self.ledger.as_ref().map(|(_, ledger)| ledger),
+            "reclaims": self.reclaims.keys().map(ToString::to_string).collect::<Vec<_>>(),
+            "pending": self.pending.len(),
+            "refused": self.refused,
+        })
+    }
+
+    fn ask(&mut self, wanted: u64, fleet: &Fleet, now: Duration) -> Vec<ShareOutput> {
+        let chosen = self.borrowing.start_round(&fleet.peers(), now);
+        let asks = self.holder.ask(&chosen, wanted, now);
+        asks.into_iter()
+            .map(|(vm, ask)| ShareOutput::Peer(vm, Message::Ask(ask)))
+            .collect()
+    }
+
+    fn on_loan(&mut self, from: &VmName, loan: Loan, now: Duration) -> Vec<ShareOutput> {
+        self.holder.on_loan(from, loan, now);
+        let gained = loan.rate > Parts::NONE || loan.tokens > 0;
+        self.borrowing.on_answer(from, gained, now);
+        self.serve_pending(now)
+    }
+
+    /// Grants waiting draws in order; refuses the rest once no answer is awaited any more.
+    fn serve_pending(&mut self, now: Duration) -> Vec<ShareOutput> {
+        let mut outputs = Vec::new();
+        while let Some(pending) = self.pending.front().copied() {
+            let drawn = self.holder.redraw(pending.link.0, pending.wanted, now);
+            let granted = matches!(drawn, Draw::Granted(_));
+            if !granted && self.borrowing.is_waiting(now) {
+                break;
+            }
+            self.pending.pop_front();
+            outputs.push(self.answer(pending, drawn, now));
+        }
+        outputs
+    }
+
+    fn answer(&mut self, pending: Pending, drawn: Draw, now: Duration) -> ShareOutput {
+        let (granted, retry) = match drawn {
+            Draw::Granted(tokens) => (tokens, Duration::ZERO),
+            Draw::Short { retry_after } => (0, self.retry_after(retry_after, now)),
+        };
+        if granted == 0 && pending.wanted > 0 {
+            self.refused += pending.wanted;
+        }
+        let grant = GrantTokens {
+            request: pending.request,
+            account: String::new(),
+            granted,
+            valid_ms: millis(GRANT_VALIDITY),
+            retry_after_ms: millis(retry),
+        };
+        ShareOutput::Grant(pending.link, grant)
+    }
+
+    fn retry_after(&self, own: Option<Duration>, now: Duration) -> Duration {
+        let pause = self.borrowing.paused_until().saturating_sub(now);
+        let next = own.unwrap_or(LONGEST_RETRY).min(LONGEST_RETRY);
+        next.max(pause.min(next)).max(SHORTEST_RETRY)
+    }
+}
+
+/// Returns a time in whole milliseconds, rounded up.
+pub(super) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_nanos().div_ceil(1_000_000)).unwrap_or(u64::MAX)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod convert;
 mod local;
 mod peer;
+mod rates;
 mod work;
 
 pub use codec::Codec;
@@ -36,6 +37,7 @@
 pub use peer::VmNews;
 pub use peer::WireStatus;
 pub use peer::peer_message;
+pub use rates::RatesMessage;
 pub use work::Cancel;
 pub use work::Chunk;
 pub use work::ConfirmPosition;
