Test that handed-out tokens keep their burst

Cause: with the term that subtracts handed-out tokens from the burst taken out, or with loans given back from under them, every test still passed.

--- a/crates/policy/tests/escrow.rs
+++ b/crates/policy/tests/escrow.rs
@@ -292,3 +292,28 @@
     world.read_ledger(1);
     assert_eq!(world.draw(1, 100, 100), 0);
 }
+
+#[test]
+fn grants_occupy_burst() {
+    let id = HolderId::new("vm0", 1);
+    let ledger = Ledger::create(std::slice::from_ref(&id), 0);
+    let mut holder = Holder::new(id, 10 * TOKEN, 10 * TOKEN, Duration::ZERO);
+    holder.on_ledger(&ledger, None, Duration::ZERO);
+    assert_eq!(holder.draw(1, 10, 0, Duration::ZERO), Draw::Granted(10));
+    let later = Duration::from_millis(400);
+    assert!(matches!(holder.draw(1, 10, 0, later), Draw::Short { .. }));
+}
+
+#[test]
+fn loan_under_grants_stays() {
+    let mut world = World::new(2, 1.0, 40.0);
+    world.draw(0, 20, 0);
+    world.ask(0, 10);
+    world.deliver_all();
+    let drawn = world.vms[0].holder.redraw(1, 20, world.now);
+    assert!(matches!(drawn, Draw::Granted(1..)));
+    world.ask(1, 10);
+    world.deliver_all();
+    let holding = world.vms[0].holder.holding();
+    assert!(holding.burst.of(40) >= holding.granted, "{holding:?}");
+}
