--- a/crates/entry/src/pools/link.rs
+++ b/crates/entry/src/pools/link.rs
@@ -33,6 +33,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 /// Time for a connection to a pool to open.
@@ -59,7 +60,6 @@
     /// The request is refused, or its answer broke off.
     Refused(Refused),
     /// Confirmed position.
-    #[expect(dead_code, reason = "nothing asks for confirmed positions yet")]
     Confirmed(Option<Position>),
     /// The connection was lost before the request was written to it.
     NotSent,
@@ -149,7 +149,6 @@
         Ok(request)
     }
 
-    #[expect(dead_code, reason = "nothing asks for confirmed positions yet")]
     /// Asks for a confirmed position and returns the request number.
     ///
     /// # Errors
@@ -255,7 +254,7 @@
     /// Answers every waiting request after the connection was lost.
     fn lose(&self, inbox: &mut mpsc::Receiver<to_pool::Body>) {
         let mut waiters = self.lock();
-        self.state.send_replace(LinkState::Down);
+        self.state.send_replace(LinkState::Connecting);
         while let Ok(body) = inbox.try_recv() {
             let request = match body {
                 to_pool::Body::Submit(submit) => submit.request,
@@ -296,6 +295,7 @@
                 up.state.send_replace(LinkState::Up);
                 drop(up);
                 tracing::info!(event = "pool_connected", pool = address);
+                let opened = Instant::now();
                 let ended = converse(stream, &link, &mut inbox).await;
                 let Some(link) = link.upgrade() else { return };
                 link.lose(&mut inbox);
@@ -303,6 +303,9 @@
                     Ok(()) => tracing::warn!(event = "pool_lost", pool = address),
                     Err(e) => tracing::warn!(event = "pool_lost", pool = address, error = %e),
                 }
+                if opened.elapsed() > RECONNECT_PAUSE {
+                    continue;
+                }
             }
             Ok(Err(e)) => {
                 up.state.send_replace(LinkState::Down);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,13 +1,17 @@
 //! Stand-ins for what surrounds the proxy, and tools that put load on it and measure it.
 
 pub mod check;
+pub mod compare;
 pub mod demo;
 pub mod error;
 pub mod fleet;
 pub mod gate;
 pub mod group;
 pub mod history;
+pub mod hop;
 pub mod http;
+pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod relay;
 pub mod run;
