--- a/crates/policy/tests/escrow.rs
+++ b/crates/policy/tests/escrow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use mustardbay_policy::account::TOKEN;
+use mustardbay_policy::escrow::Ask;
 use mustardbay_policy::escrow::Draw;
 use mustardbay_policy::escrow::FREEZE_GAP;
 use mustardbay_policy::escrow::Holder;
@@ -13,8 +14,10 @@
 use mustardbay_policy::escrow::LOAN_MARGIN;
 use mustardbay_policy::escrow::LOAN_TERM;
 use mustardbay_policy::escrow::Ledger;
+use mustardbay_policy::escrow::Loan;
 use mustardbay_policy::escrow::Parts;
 use mustardbay_policy::escrow::RECLAIM_WAIT;
+use mustardbay_policy::names::VmName;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use world::World;
@@ -306,14 +309,27 @@
 
 #[test]
 fn loan_under_grants_stays() {
-    let mut world = World::new(2, 1.0, 40.0);
-    world.draw(0, 20, 0);
-    world.ask(0, 10);
-    world.deliver_all();
-    let drawn = world.vms[0].holder.redraw(1, 20, world.now);
-    assert!(matches!(drawn, Draw::Granted(1..)));
-    world.ask(1, 10);
-    world.deliver_all();
-    let holding = world.vms[0].holder.holding();
-    assert!(holding.burst.of(40) >= holding.granted, "{holding:?}");
+    let mut holder = Holder::new(HolderId::new("vm0", 1), TOKEN, 40 * TOKEN, Duration::ZERO);
+    let lender = VmName::from("vm1");
+    let (_, question) = holder.ask(std::slice::from_ref(&lender), 10, Duration::ZERO)[0];
+    let loan = Loan {
+        request: question.request,
+        loan: 1,
+        rate: Parts::NONE,
+        burst: Parts(250_000),
+        tokens: 10 * TOKEN,
+    };
+    holder.on_loan(&lender, loan, Duration::ZERO);
+    assert_eq!(holder.redraw(1, 10, Duration::ZERO), Draw::Granted(10));
+    let back = Ask {
+        request: 1,
+        tokens: 10 * TOKEN,
+        demand: 1_000,
+        held: Parts(500_000),
+    };
+    let (returns, _) = holder.on_ask(&lender, back, Duration::ZERO);
+    assert_eq!(returns, []);
+    holder.draw(1, 0, 10, Duration::ZERO);
+    let (returns, _) = holder.on_ask(&lender, back, Duration::ZERO);
+    assert_eq!(returns.len(), 1);
 }
