Compare ways to share rates, and keep saturated holders from lending

Cause: no figures spoke for or against the escrow. Change: `mustardbay-lab rates` runs a static split, one home and the escrow through four scenarios on the same arrivals under virtual time. A holder whose demand reaches its income lends no tokens, and rate moves only for an imbalance of a sixth or more.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod measure;
 pub mod platform;
+pub mod rate_study;
 pub mod relay;
 pub mod run;
 pub mod upstream;
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -18,6 +18,8 @@
 use crate::measure::MeasureArgs;
 use crate::platform;
 use crate::platform::Platform;
+use crate::rate_study;
+use crate::rate_study::RatesArgs;
 use crate::relay;
 use crate::relay::Relay;
 use crate::upstream::Upstream;
@@ -47,6 +49,8 @@
     Load(LoadArgs),
     /// Runs a stand-in for the platform's key-value service.
     Platform(platform::Config),
+    /// Compares ways to hold rates across the fleet, under virtual time.
+    Rates(RatesArgs),
     /// Relays TCP links that can be cut, frozen and delayed.
     Relay(relay::Config),
 }
@@ -82,6 +86,7 @@
         Command::Measure(args) => return Ok(measure::run(args).await?),
         Command::Compare(args) => compare::run(&args)?,
         Command::Load(args) => load::run(args).await?,
+        Command::Rates(args) => rate_study::run(&args),
         Command::Upstream(args) => {
             let upstream = Upstream::start(args.into()).await?;
             println!("{}", upstream.address());
--- a/crates/policy/src/escrow/holder/lending.rs
+++ b/crates/policy/src/escrow/holder/lending.rs
@@ -18,6 +18,8 @@
 
 /// Share of the account's rate that a lender counts as its own demand at least, as a divisor.
 const RESERVE_DIVISOR: u64 = 100;
+/// Smallest part of what is held that is worth moving for balance, as a divisor.
+const LEAST_IMBALANCE: u64 = 6;
 /// Fewest tokens that are worth a loan, in millionths.
 const MIN_TOKENS: u64 = TOKEN / 10;
 /// Fewest rate parts that are worth a loan.
@@ -111,7 +113,21 @@
         let held = self.rate_parts();
         let both = held.plus(ask.held);
         let fair = both.scaled(demand, demand.saturating_add(ask.demand));
-        held.minus(fair)
+        let excess = held.minus(fair);
+        if excess < held.scaled(1, LEAST_IMBALANCE) {
+            return Parts::NONE;
+        }
+        excess
+    }
+
+    /// Returns the tokens to lend; a holder that needs all that it gets itself lends none.
+    fn spare_tokens(&mut self, ask: Ask, now: Duration) -> u64 {
+        let demand = self.own_demand(now);
+        let income = self.rate_parts().of(self.rate) / (TOKEN / 1_000);
+        if demand >= income {
+            return 0;
+        }
+        scaled(self.bucket.tokens(), ask.demand, demand + ask.demand)
     }
 
     /// Returns the tokens wanted here a second, in thousandths, and a reserve at least.
@@ -156,9 +172,7 @@
 
     fn lend(&mut self, to: &VmName, ask: Ask, excess: Parts, now: Duration) -> Loan {
         let rate = excess.min(self.own_rate_left());
-        let demand = self.own_demand(now);
-        let share = scaled(self.bucket.tokens(), ask.demand, demand + ask.demand);
-        let tokens = ask.tokens.min(share);
+        let tokens = ask.tokens.min(self.spare_tokens(ask, now));
         let burst = self.spare_burst(tokens, rate);
         let tokens = tokens.min(burst.of(self.burst));
         let loan = Loan {
--- a/crates/policy/src/escrow/ledger.rs
+++ b/crates/policy/src/escrow/ledger.rs
@@ -81,13 +81,37 @@
         next.nonce = nonce;
         let parts = from.iter().map(|owner| self.parts(owner)).sum();
         next.entries.retain(|e| !from.contains(&e.owner));
-        match next.entries.iter_mut().find(|e| e.owner == *to) {
+        next.add(to, parts);
+        Some(next)
+    }
+
+    /// Divides an entry evenly among heirs; `None` if it is no longer listed or nobody inherits.
+    #[must_use]
+    pub fn divided(&self, from: &HolderId, heirs: &[HolderId], nonce: u64) -> Option<Self> {
+        let count = u64::try_from(heirs.len()).ok()?;
+        let first = heirs.first()?;
+        let each = self.parts(from).scaled(1, count);
+        let mut next = self.moved(std::slice::from_ref(from), first, nonce)?;
+        for heir in &heirs[1..] {
+            next.take(first, each);
+            next.add(heir, each);
+        }
+        Some(next)
+    }
+
+    fn add(&mut self, owner: &HolderId, parts: Parts) {
+        match self.entries.iter_mut().find(|e| e.owner == *owner) {
             Some(entry) => entry.parts = entry.parts.plus(parts),
-            None => next.entries.push(LedgerEntry {
-                owner: to.clone(),
+            None => self.entries.push(LedgerEntry {
+                owner: owner.clone(),
                 parts,
             }),
         }
-        Some(next)
+    }
+
+    fn take(&mut self, owner: &HolderId, parts: Parts) {
+        for entry in self.entries.iter_mut().filter(|e| e.owner == *owner) {
+            entry.parts = entry.parts.minus(parts);
+        }
     }
 }
