Suspect a primary whose connections are lost sooner, and never one that is full

A primary that refuses connections is suspected after a third of the silence bound; one that answers that it has no connection to spare counts as seen. Found while writing the script for it: a primary that came back at once with nothing was fenced at its own term and promoted again with an empty log. A primary is now promoted only if it is fenced at exactly its term, and one below it is replaced; the first term is elected like any other.

--- a/crates/policy/src/group/bounds.rs
+++ b/crates/policy/src/group/bounds.rs
@@ -16,6 +16,8 @@
 pub struct Bounds {
     /// Silence after which the primary is suspected.
     pub suspect: Duration,
+    /// Time without a connection after which the primary is suspected.
+    pub lost: Duration,
     /// Time between two probes of the primary.
     pub probe: Duration,
     /// Time between two probes of every other upstream.
@@ -36,6 +38,7 @@
         let probe = (suspect / 4).min(MAX_PROBE);
         Self {
             suspect,
+            lost: suspect / 3,
             probe,
             check: probe * 6,
             ask: suspect / 4,
--- a/crates/policy/src/group/event.rs
+++ b/crates/policy/src/group/event.rs
@@ -36,8 +36,12 @@
     Record(Option<Recorded>),
     /// An upstream answered a probe.
     Seen(UpstreamName, Sighting),
-    /// An upstream did not answer a probe.
+    /// An upstream did not answer a probe in time.
     Unseen(UpstreamName),
+    /// An upstream answered a probe, but had no connection to spare.
+    Busy(UpstreamName),
+    /// An upstream could not be connected to, or closed the connection.
+    Lost(UpstreamName),
     /// Another monitor says whether it has lost contact with the primary of a term.
     Opinion {
         /// The other monitor.
--- a/crates/policy/src/group/monitor.rs
+++ b/crates/policy/src/group/monitor.rs
@@ -37,6 +37,8 @@
     absent_since: Option<Duration>,
     stage: Stage,
     contact: Duration,
+    /// When the primary was first found unconnectable or stripped of its term, since `contact`.
+    lost_at: Option<Duration>,
     quiet_until: Duration,
     unfinished: u32,
     unanswered: u32,
@@ -84,6 +86,7 @@
             absent_since: None,
             stage: Stage::Watching,
             contact: now,
+            lost_at: None,
             quiet_until: now,
             unfinished: 0,
             unanswered: 0,
@@ -103,7 +106,7 @@
     /// Takes over a new duty; contact with the primary counts from a duty's beginning.
     pub fn assign(&mut self, duty: Option<Duty>, now: Duration) {
         if self.duty.is_none() && duty.is_some() {
-            self.contact = now;
+            self.touch(now);
             self.record_at = now;
         }
         if duty.is_none() {
@@ -131,7 +134,8 @@
     pub fn opinion(&self, now: Duration) -> Option<(Term, bool)> {
         self.duty.as_ref()?;
         let record = &self.record.as_ref()?.record;
-        let silent = now.saturating_sub(self.contact) >= self.bounds.suspect / 2;
+        let age = now.saturating_sub(self.contact);
+        let silent = self.lost_at.is_some() || age >= self.bounds.suspect / 2;
         Some((record.term, silent))
     }
 
@@ -144,6 +148,8 @@
             Event::Unseen(upstream) => {
                 self.probing.remove(&upstream);
             }
+            Event::Busy(upstream) => self.busy(&upstream, now),
+            Event::Lost(upstream) => self.lost(&upstream, now),
             Event::Opinion { vm, term, silent } => {
                 self.hear_opinion(vm, term, silent, now, &mut out);
             }
@@ -154,7 +160,7 @@
             Event::SwapLost(recorded) => self.lose_swap(recorded, now, &mut out),
             Event::SwapUnknown => self.doubt_swap(now, &mut out),
             Event::Fenced(upstream, term, received) => {
-                self.fenced(upstream, term, received, &mut out);
+                self.fenced(upstream, term, received);
             }
             Event::FenceFailed(upstream, term) => self.fence_failed(upstream, term),
             Event::Promoted(upstream, term) => self.promoted(&upstream, term, now, &mut out),
@@ -199,7 +205,7 @@
             Phase::Electing => self.unfinished += 1,
             Phase::Chosen => {
                 self.unfinished = 0;
-                self.contact = now;
+                self.touch(now);
             }
         }
         self.probes.clear();
@@ -222,6 +228,12 @@
         }
     }
 
+    /// Notes contact with the primary.
+    fn touch(&mut self, now: Duration) {
+        self.contact = now;
+        self.lost_at = None;
+    }
+
     fn rank(&self) -> u32 {
         self.duty.as_ref().map_or(u32::MAX, |duty| duty.rank)
     }
--- a/crates/policy/src/group/monitor/election.rs
+++ b/crates/policy/src/group/monitor/election.rs
@@ -35,16 +35,7 @@
         if now < since.saturating_add(turn) {
             return;
         }
-        let staying = self
-            .group
-            .upstreams
-            .iter()
-            .find(|upstream| !upstream.leaving);
-        let Some(first) = staying.or(self.group.upstreams.first()) else {
-            return;
-        };
-        let primary = first.name.clone();
-        self.swap(0, Term(1), Some(primary), None, out);
+        self.swap(0, Term(1), None, None, out);
     }
 
     /// Looks for silence of the primary and raises the term once it is confirmed.
@@ -67,7 +58,10 @@
     }
 
     fn is_silent(&self, now: Duration) -> bool {
-        now.saturating_sub(self.contact) >= self.bounds.suspect
+        let lost = self
+            .lost_at
+            .is_some_and(|at| now.saturating_sub(at) >= self.bounds.lost);
+        lost || now.saturating_sub(self.contact) >= self.bounds.suspect
     }
 
     /// Tells whether the configuration takes the primary away while others can replace it.
@@ -239,22 +233,9 @@
         }
     }
 
-    /// Counts a fenced upstream, or goes on to promote it if it is the chosen one.
-    pub(super) fn fenced(
-        &mut self,
-        upstream: UpstreamName,
-        term: Term,
-        received: Position,
-        out: &mut Vec<Command>,
-    ) {
-        let Some(recorded) = &self.record else {
-            return;
-        };
-        if recorded.record.term != term {
-            return;
-        }
-        if recorded.record.primary.as_ref() == Some(&upstream) {
-            out.push(Command::Promote(upstream, term));
+    /// Counts a fenced upstream.
+    pub(super) fn fenced(&mut self, upstream: UpstreamName, term: Term, received: Position) {
+        if self.term() != Some(term) {
             return;
         }
         self.repairing.remove(&upstream);
--- a/crates/policy/src/group/monitor/upkeep.rs
+++ b/crates/policy/src/group/monitor/upkeep.rs
@@ -45,6 +45,27 @@
         recorded.record.proposer == self.me || now >= self.record_at.saturating_add(turn)
     }
 
+    /// Notes that an upstream lives though it has no connection to spare.
+    pub(super) fn busy(&mut self, upstream: &UpstreamName, now: Duration) {
+        self.probing.remove(upstream);
+        if self.is_primary(upstream) {
+            self.touch(now);
+        }
+    }
+
+    /// Notes that an upstream cannot be connected to.
+    pub(super) fn lost(&mut self, upstream: &UpstreamName, now: Duration) {
+        self.probing.remove(upstream);
+        if self.is_primary(upstream) {
+            self.lost_at.get_or_insert(now);
+        }
+    }
+
+    fn is_primary(&self, upstream: &UpstreamName) -> bool {
+        let record = self.record.as_ref().map(|recorded| &recorded.record);
+        record.is_some_and(|record| record.primary.as_ref() == Some(upstream))
+    }
+
     /// Compares an upstream with the record and mends what differs.
     pub(super) fn seen(
         &mut self,
@@ -69,7 +90,12 @@
         let term = record.term;
         if upstream == primary {
             if current && sighting.role == Role::Primary {
-                self.contact = now;
+                self.touch(now);
+                return;
+            }
+            if !current {
+                // It was fenced at this term before it was chosen, so it has lost its state.
+                self.lost_at.get_or_insert(now);
                 return;
             }
         } else if current && sighting.role == Role::Replica {
@@ -93,7 +119,7 @@
             return;
         }
         if upstream == primary {
-            out.push(Command::Fence(upstream.clone(), term));
+            out.push(Command::Promote(upstream.clone(), term));
         } else {
             out.push(Command::Follow(upstream.clone(), primary.clone(), term));
         }
@@ -118,7 +144,7 @@
             return;
         }
         self.repaired(upstream, term);
-        self.contact = now;
+        self.touch(now);
         let others = self.group.upstreams.iter().map(|other| other.name.clone());
         for other in others.collect::<Vec<_>>() {
             if other != *upstream {
--- a/crates/policy/tests/group/main.rs
+++ b/crates/policy/tests/group/main.rs
@@ -10,6 +10,8 @@
 
 #[test_case("created"; "created_at_term_one")]
 #[test_case("killed"; "primary_killed")]
+#[test_case("refused"; "primary_refuses_connections")]
+#[test_case("wiped"; "primary_lost_its_state")]
 #[test_case("cut_off"; "primary_cut_off_with_unconfirmed_writes")]
 #[test_case("furthest"; "replicas_received_differently")]
 #[test_case("thawed"; "primary_frozen_through_its_replacement")]
--- a/crates/policy/tests/group/runner.rs
+++ b/crates/policy/tests/group/runner.rs
@@ -16,7 +16,8 @@
 ///
 /// `run MS` lets time pass, `hold M` keeps a monitor from carrying out its decisions, `step M [N]`
 /// carries out the next ones, `release M` ends the hold, `die M` removes it, `read M` gives it the
-/// record, `store STATE` sets the platform, `cut U` and `heal U` set whether an upstream is
+/// record, `store STATE` sets the platform, `kill U` has an upstream refuse
+/// connections, `wipe U` takes its state away, `cut U` and `heal U` set whether an upstream is
 /// reached, `blind M U` and `sight M` set what one monitor reaches, `write U` writes (without U to the
 /// recorded primary), `reset` starts over, `leave U`
 /// marks an upstream as leaving, `show` prints record and upstreams.
@@ -62,6 +63,11 @@
             }
             ("store", [state]) => self.world.store = parse_store(state)?,
             ("cut", [upstream]) => self.reach(upstream, false),
+            ("kill", [upstream]) => {
+                self.world.refusing = true;
+                self.reach(upstream, false);
+            }
+            ("wipe", [upstream]) => self.world.upstreams.wipe(upstream),
             ("heal", [upstream]) => self.reach(upstream, true),
             ("blind", [monitor, upstream]) => self.blind(monitor, vec![(*upstream).to_owned()]),
             ("sight", [monitor]) => self.blind(monitor, Vec::new()),
--- a/crates/policy/tests/group/upstreams.rs
+++ b/crates/policy/tests/group/upstreams.rs
@@ -30,7 +30,7 @@
     pub fn add(&mut self, name: &str) {
         let upstream = Upstream {
             reachable: true,
-            role: Role::Replica,
+            role: Role::Fenced,
             term: 0,
             source: None,
             log: Vec::new(),
@@ -95,6 +95,11 @@
         true
     }
 
+    /// Takes an upstream's state away, as when its machine is replaced.
+    pub fn wipe(&mut self, name: &str) {
+        self.add(name);
+    }
+
     /// Writes to an upstream as one of its own domain does, even if nobody else reaches it.
     pub fn write(&mut self, name: &str) -> String {
         self.next_write += 1;
--- a/crates/policy/tests/group/world.rs
+++ b/crates/policy/tests/group/world.rs
@@ -54,6 +54,8 @@
     pub upstreams: Upstreams,
     pub group: Group,
     pub events: Vec<String>,
+    /// Whether an upstream that is cut refuses connections instead of staying silent.
+    pub refusing: bool,
 }
 
 impl World {
@@ -72,6 +74,7 @@
             upstreams: Upstreams::default(),
             group,
             events: Vec::new(),
+            refusing: false,
         };
         for name in upstreams {
             world.upstreams.add(name);
@@ -176,6 +179,7 @@
         }
         match self.upstreams.position(upstream.as_str()) {
             Some(sighting) => Event::Seen(upstream, sighting),
+            None if self.refusing => Event::Lost(upstream),
             None => Event::Unseen(upstream),
         }
     }
--- a/crates/steward/src/control.rs
+++ b/crates/steward/src/control.rs
@@ -16,6 +16,7 @@
 use mustardbay_process::dialer::Dialer;
 
 pub(crate) use error::ControlError;
+pub(crate) use error::Liveness;
 use session::Row;
 use session::Session;
 
--- a/crates/steward/src/control/error.rs
+++ b/crates/steward/src/control/error.rs
@@ -1,6 +1,7 @@
 //! Failures of control calls.
 
 use thiserror::Error;
+use tokio_postgres::error::SqlState;
 
 /// Control call that an upstream did not carry out, as far as is known.
 #[derive(Debug, Error)]
@@ -19,7 +20,31 @@
     Malformed(String),
 }
 
+/// What a failed call tells of its upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Liveness {
+    /// It may be slow, frozen or cut off.
+    Unknown,
+    /// It lives, but has no connection to spare.
+    Busy,
+    /// It cannot be connected to, or closed the connection.
+    Lost,
+}
+
 impl ControlError {
+    /// Returns what the failure tells of the upstream.
+    pub(crate) fn liveness(&self) -> Liveness {
+        match self {
+            Self::Unreachable(_) => Liveness::Lost,
+            Self::Refused(e) => match e.code() {
+                Some(code) if *code == SqlState::TOO_MANY_CONNECTIONS => Liveness::Busy,
+                Some(_) => Liveness::Unknown,
+                None => Liveness::Lost,
+            },
+            Self::Timeout | Self::Malformed(_) => Liveness::Unknown,
+        }
+    }
+
     /// Tells whether the connection is of no further use.
     pub(crate) fn ends_session(&self) -> bool {
         match self {
--- a/crates/steward/src/groups/effects.rs
+++ b/crates/steward/src/groups/effects.rs
@@ -19,6 +19,7 @@
 
 use crate::control::Control;
 use crate::control::ControlError;
+use crate::control::Liveness;
 
 /// Prefix of the keys that hold group records.
 pub(crate) const RECORD_PREFIX: &str = "mustardbay/group/";
@@ -95,7 +96,11 @@
             Ok(sighting) => Event::Seen(name, sighting),
             Err(e) => {
                 tracing::debug!(event = "probe_failed", upstream = %name, error = %e);
-                Event::Unseen(name)
+                match e.liveness() {
+                    Liveness::Unknown => Event::Unseen(name),
+                    Liveness::Busy => Event::Busy(name),
+                    Liveness::Lost => Event::Lost(name),
+                }
             }
         }
     }
