--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -186,5 +186,5 @@
 }
 
 fn platform(args: &ArgMatches) -> Result<Gateway, CliError> {
-    Ok(Gateway::new(many(args, "platform"), None)?)
+    Ok(Gateway::new(many(args, "platform"))?)
 }
--- a/crates/lab/src/fleet/submission.rs
+++ b/crates/lab/src/fleet/submission.rs
@@ -66,7 +66,7 @@
             keys.insert(account.name.to_string(), key);
         }
         let submission = Self {
-            platform: Gateway::new([platform], None)?,
+            platform: Gateway::new([platform])?,
             signer: Signer::generate(&mut rng),
             keys,
             head: None,
