Measure what one more vm, group, account, change or session costs

`mustardbay-lab slopes` starts fleets of at least three sizes, reads processor time, memory, peer bytes and platform calls, and fits a line.

--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -5,6 +5,7 @@
 use crate::demo::DemoError;
 use crate::history::HistoryError;
 use crate::measure::MeasureError;
+use crate::slopes::SlopesError;
 
 /// Why a stand-in or a measurement could not do its work.
 #[derive(Debug, Error)]
@@ -35,6 +36,9 @@
     /// A measurement could not be made.
     #[error(transparent)]
     Measure(#[from] MeasureError),
+    /// The slopes could not be measured.
+    #[error(transparent)]
+    Slopes(#[from] SlopesError),
     /// The demonstration could not go on.
     #[error(transparent)]
     Demo(#[from] DemoError),
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -24,4 +24,5 @@
 pub use program::ProgramError;
 pub use running::Fleet;
 pub use running::FleetError;
+pub use submission::Submission;
 pub use submission::SubmissionError;
--- a/crates/lab/src/fleet/program.rs
+++ b/crates/lab/src/fleet/program.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Returns the identifier of the process; `None` once it has ended.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Sends SIGKILL and waits for the end.
     ///
     /// # Errors
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -180,6 +180,57 @@
         Ok(self.http.get(url).send().await?.json().await?)
     }
 
+    /// Returns the metrics page of a program.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint does not answer.
+    pub async fn metrics(&self, vm: &str, kind: Kind) -> Result<String, FleetError> {
+        let url = format!("{}/metrics", self.admin(vm, kind));
+        Ok(self.http.get(url).send().await?.text().await?)
+    }
+
+    /// Returns the calls that the platform stand-in has counted.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stand-in does not answer.
+    pub async fn platform_calls(&self) -> Result<f64, FleetError> {
+        let url = format!("http://{}/state", self.plan.platform_address());
+        let state: serde_json::Value = self.http.get(url).send().await?.json().await?;
+        Ok(state["calls_total"].as_f64().unwrap_or(0.0))
+    }
+
+    /// Returns the process identifier of a program of a virtual machine.
+    #[must_use]
+    pub fn process_id(&self, vm: &str, kind: Kind) -> Option<u32> {
+        let program = match kind {
+            Kind::Entry => "entry",
+            Kind::Pool => "pool",
+            Kind::Steward => "steward",
+            Kind::Lab => "lab",
+        };
+        self.programs.get(&format!("{vm}-{program}"))?.id()
+    }
+
+    /// Returns another operator, who submits bundles beside this fleet's own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the client of the platform cannot be set up.
+    pub fn operator(&self) -> Result<Submission, FleetError> {
+        Ok(self.submission.another()?)
+    }
+
+    /// Kills every program at once.
+    pub async fn kill_all(&mut self) {
+        for program in self.programs.values_mut() {
+            if let Err(e) = program.kill().await {
+                tracing::debug!(event = "kill_failed", error = %e);
+            }
+        }
+    }
+
     /// Opens a caller's session on an entry.
     ///
     /// # Errors
--- a/crates/lab/src/fleet/submission.rs
+++ b/crates/lab/src/fleet/submission.rs
@@ -36,6 +36,7 @@
 /// Operator of a fleet: its signing key, its accounts' keys and its view of the head.
 #[derive(Debug)]
 pub struct Submission {
+    url: String,
     platform: Gateway,
     signer: Signer,
     keys: BTreeMap<String, Key>,
@@ -53,6 +54,7 @@
         bundle: &Bundle,
         platform: impl Into<String>,
     ) -> Result<(Bundle, Self), SubmissionError> {
+        let url = platform.into();
         let mut rng = rand::rng();
         let mut bundle = bundle.clone();
         let mut keys = BTreeMap::new();
@@ -66,7 +68,8 @@
             keys.insert(account.name.to_string(), key);
         }
         let submission = Self {
-            platform: Gateway::new([platform])?,
+            platform: Gateway::new([url.clone()])?,
+            url,
             signer: Signer::generate(&mut rng),
             keys,
             head: None,
@@ -75,6 +78,22 @@
         Ok((bundle, submission))
     }
 
+    /// Creates an operator who starts from the same head.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the client of the platform cannot be set up.
+    pub fn another(&self) -> Result<Self, SubmissionError> {
+        Ok(Self {
+            url: self.url.clone(),
+            platform: Gateway::new([self.url.clone()])?,
+            signer: self.signer.clone(),
+            keys: self.keys.clone(),
+            head: self.head.clone(),
+            revision: self.revision,
+        })
+    }
+
     /// Returns the key of an account; empty when there is none.
     pub fn key(&self, account: &str) -> String {
         self.keys
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod platform;
 pub mod relay;
 pub mod run;
+pub mod slopes;
 pub mod upstream;
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -20,6 +20,8 @@
 use crate::platform::Platform;
 use crate::relay;
 use crate::relay::Relay;
+use crate::slopes;
+use crate::slopes::SlopesArgs;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamArgs;
 
@@ -45,6 +47,8 @@
     Compare(CompareArgs),
     /// Puts an open-loop load on entries.
     Load(LoadArgs),
+    /// Measures what one more vm, group, account, change or session costs.
+    Slopes(SlopesArgs),
     /// Runs a stand-in for the platform's key-value service.
     Platform(platform::Config),
     /// Relays TCP links that can be cut, frozen and delayed.
@@ -81,6 +85,7 @@
         Command::Hop(args) => hop::run(args).await?,
         Command::Measure(args) => return Ok(measure::run(args).await?),
         Command::Compare(args) => compare::run(&args)?,
+        Command::Slopes(args) => slopes::run(args).await?,
         Command::Load(args) => load::run(args).await?,
         Command::Upstream(args) => {
             let upstream = Upstream::start(args.into()).await?;
--- /dev/null
+++ b/crates/lab/src/slopes/run.rs
@@ -0,0 +1,191 @@
+//! Command that measures the slopes and prints them.
+
+use std::fs::File;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Args;
+use mustardbay_policy::bundle::Bundle;
+use serde::Serialize;
+use thiserror::Error;
+use tokio::task::JoinHandle;
+use tokio_postgres::Client;
+
+use super::axis::Axis;
+use super::fit::slope;
+use super::sample::Usage;
+use super::sample::measure;
+use crate::fleet::Fleet;
+use crate::fleet::FleetError;
+use crate::fleet::Kind;
+
+/// Time that a fleet gets to settle before it is measured.
+const SETTLE: Duration = Duration::from_secs(4);
+/// Account that idle sessions belong to.
+const ACCOUNT: &str = "account-0";
+/// Route that idle sessions take.
+const ROUTE: &str = "adapt-core-1";
+
+/// Failure of a slope measurement.
+#[derive(Debug, Error)]
+pub enum SlopesError {
+    /// A fleet did not start or could not be asked.
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
+    /// The result could not be written.
+    #[error("result file: {0}")]
+    File(#[from] std::io::Error),
+    /// The result is no JSON.
+    #[error("result: {0}")]
+    Json(#[from] serde_json::Error),
+}
+
+/// How the slopes are measured.
+#[derive(Debug, Args)]
+pub struct SlopesArgs {
+    /// Quantity to vary; every one by default.
+    #[arg(long, value_enum)]
+    axis: Vec<Axis>,
+    /// Length of each measurement in seconds.
+    #[arg(long, default_value_t = 8)]
+    seconds: u64,
+    /// File for the result as JSON.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
+/// One size of one axis.
+#[derive(Debug, Serialize)]
+struct Point {
+    axis: &'static str,
+    size: usize,
+    program: &'static str,
+    usage: Usage,
+}
+
+/// Measures the slopes and prints a table.
+///
+/// # Errors
+///
+/// Fails if a fleet does not start or the result cannot be written.
+pub async fn run(args: SlopesArgs) -> Result<(), SlopesError> {
+    let all = [
+        Axis::Vms,
+        Axis::Groups,
+        Axis::Accounts,
+        Axis::Changes,
+        Axis::Sessions,
+    ];
+    let axes = if args.axis.is_empty() {
+        all.to_vec()
+    } else {
+        args.axis
+    };
+    let mut points = Vec::new();
+    for axis in axes {
+        for size in axis.sizes() {
+            points.extend(measure_size(axis, *size, Duration::from_secs(args.seconds)).await?);
+        }
+        print_axis(axis, &points);
+    }
+    if let Some(path) = args.json {
+        serde_json::to_writer_pretty(File::create(path)?, &points)?;
+    }
+    Ok(())
+}
+
+async fn measure_size(
+    axis: Axis,
+    size: usize,
+    length: Duration,
+) -> Result<Vec<Point>, SlopesError> {
+    let mut fleet = Fleet::start(axis.layout(size)).await?;
+    let sessions = open_sessions(&fleet, if axis == Axis::Sessions { size } else { 0 }).await?;
+    let changes = if axis == Axis::Changes { size } else { 0 };
+    tokio::time::sleep(SETTLE).await;
+    let submitter = submit_changes(&fleet, changes)?;
+    let mut points = Vec::new();
+    for kind in [Kind::Steward, Kind::Pool, Kind::Entry] {
+        let usage = measure(&fleet, kind, length).await?;
+        points.push(Point {
+            axis: axis.name(),
+            size,
+            program: kind.executable(),
+            usage,
+        });
+    }
+    if let Some(submitter) = submitter {
+        submitter.abort();
+    }
+    drop(sessions);
+    fleet.kill_all().await;
+    Ok(points)
+}
+
+async fn open_sessions(fleet: &Fleet, count: usize) -> Result<Vec<Client>, FleetError> {
+    let mut sessions = Vec::with_capacity(count);
+    for _ in 0..count {
+        sessions.push(fleet.caller("vm1", ACCOUNT, ROUTE).await?);
+    }
+    Ok(sessions)
+}
+
+/// Submits `rate` bundles a second, each with one changed rate, until it is aborted.
+fn submit_changes(fleet: &Fleet, rate: usize) -> Result<Option<JoinHandle<()>>, FleetError> {
+    let Some(pause) = u32::try_from(rate)
+        .ok()
+        .and_then(|rate| Duration::from_secs(1).checked_div(rate))
+    else {
+        return Ok(None);
+    };
+    let mut operator = fleet.operator()?;
+    let mut bundle: Bundle = fleet.bundle().clone();
+    Ok(Some(tokio::spawn(async move {
+        loop {
+            bundle.accounts[0].rate += 1.0;
+            match operator.submit(bundle.clone()).await {
+                Ok(accepted) => bundle = accepted,
+                Err(e) => tracing::warn!(event = "submission_failed", error = %e),
+            }
+            tokio::time::sleep(pause).await;
+        }
+    })))
+}
+
+fn print_axis(axis: Axis, points: &[Point]) {
+    println!("per {}:", axis.name());
+    println!("  program size cpu_us/s rss_kB peer_B/s peer_msg/s platform_calls/s");
+    let of_axis: Vec<&Point> = points.iter().filter(|p| p.axis == axis.name()).collect();
+    for point in &of_axis {
+        let Usage {
+            cpu_us,
+            resident_kb,
+            peer_bytes,
+            peer_messages,
+            platform_calls,
+        } = point.usage;
+        println!(
+            "  {} {} {cpu_us:.0} {resident_kb:.0} {peer_bytes:.0} {peer_messages:.1} {platform_calls:.2}",
+            point.program, point.size,
+        );
+    }
+    for kind in [Kind::Steward, Kind::Pool, Kind::Entry] {
+        let fit = |value: fn(&Usage) -> f64| {
+            let of_kind = of_axis.iter().filter(|p| p.program == kind.executable());
+            let line: Vec<(f64, f64)> = of_kind.map(|p| (size(p.size), value(&p.usage))).collect();
+            slope(&line)
+        };
+        println!(
+            "  slope {}: {:.2} cpu_us/s, {:.2} kB, {:.2} peer B/s, {:.3} platform calls/s",
+            kind.executable(),
+            fit(|usage| usage.cpu_us),
+            fit(|usage| usage.resident_kb),
+            fit(|usage| usage.peer_bytes),
+            fit(|usage| usage.platform_calls),
+        );
+    }
+}
+
+fn size(size: usize) -> f64 {
+    u32::try_from(size).map_or(f64::MAX, f64::from)
+}
