Keep less room for the buffers of idle sessions

Cause: a session held two buffers of 8 KiB whether it moved data or not. Change: 2 KiB for input at first, none for output while the session is idle. Output is allocated anew for each answer, which was not timed.

--- a/crates/entry/src/session/connection.rs
+++ b/crates/entry/src/session/connection.rs
@@ -28,6 +28,8 @@
 use crate::session::startup::negotiate;
 use crate::session::startup::start_up;
 
+/// Room for the input of a connection before it grows, in bytes.
+const READ_BUFFER_BYTES: usize = 2 * 1024;
 /// Time in which a connection that is not served must ask for one and read the answer.
 const TURN_AWAY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -42,7 +44,7 @@
 
 /// Serves one connection until it ends.
 pub(crate) async fn serve(stream: TcpStream, ctx: Arc<Context>) {
-    let mut caller = Framed::new(stream, codec(&ctx));
+    let mut caller = framed(stream, &ctx);
     let bound = Duration::from_millis(ctx.settings.limits.startup_ms);
     let until = Instant::now() + bound;
     let offers_tls = ctx.tls.is_some();
@@ -57,7 +59,7 @@
 
 /// Tells a new connection that it is not served.
 pub(crate) async fn turn_away(stream: TcpStream, ctx: Arc<Context>, why: TurnAway) {
-    let mut caller = Framed::new(stream, codec(&ctx));
+    let mut caller = framed(stream, &ctx);
     let opening = timeout(TURN_AWAY_TIMEOUT, negotiate(&mut caller, false)).await;
     let last = match (opening, why) {
         (Ok(Ok(Opening::Cancel(cancel))), _) => return cancel_other(&ctx, &cancel),
@@ -74,8 +76,9 @@
     }
 }
 
-fn codec(ctx: &Context) -> CallerCodec {
-    CallerCodec::new(ctx.settings.limits.message_bytes)
+fn framed<S: Transport>(stream: S, ctx: &Context) -> Caller<S> {
+    let codec = CallerCodec::new(ctx.settings.limits.message_bytes);
+    Framed::with_capacity(stream, codec, READ_BUFFER_BYTES)
 }
 
 fn cancel_other(ctx: &Context, cancel: &CancelRequest) {
@@ -102,7 +105,7 @@
         Ok(Err(e)) => return tracing::debug!(event = "tls_failed", error = %e),
         Err(_) => return tracing::debug!(event = "startup_timed_out"),
     };
-    let mut caller = Framed::new(stream, codec(ctx));
+    let mut caller = framed(stream, ctx);
     match timeout_at(until, negotiate(&mut caller, false)).await {
         Ok(Ok(Opening::Startup(startup))) => start(caller, &startup, ctx, true, until).await,
         Ok(Ok(Opening::Cancel(cancel))) => cancel_other(ctx, &cancel),
--- a/crates/entry/src/session/execute.rs
+++ b/crates/entry/src/session/execute.rs
@@ -1,5 +1,6 @@
 //! Runs a batch: checks, admission and the end of its answer.
 
+use bytes::BytesMut;
 use futures::SinkExt;
 use mustardbay_policy::refusal::Reason;
 use mustardbay_policy::refusal::Refusal;
@@ -72,6 +73,10 @@
             self.caller.feed(ready(self.transaction.status())).await?;
         }
         self.caller.flush().await?;
+        if self.caller.read_buffer().is_empty() {
+            // Idle sessions outnumber busy ones by far, so they keep no room for output.
+            *self.caller.write_buffer_mut() = BytesMut::new();
+        }
         Ok(())
     }
 
