Give up silent pools before the deadline and tell pools of every session's end

Cause: a pool that froze or was cut off held its requests until their deadlines, and a pool kept a record of each session that ever used it. Change: a connection that owes answers and is silent for 500 ms is asked for a sign of life, and lost after another second; the end of a session goes to every pool that it used. Conclusion: a read on a mute pool is answered by the next connection, shown by a test.

--- a/crates/entry/src/pools/link.rs
+++ b/crates/entry/src/pools/link.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use futures::SinkExt;
 use futures::StreamExt;
+use futures::stream::SplitStream;
 use mustardbay_policy::position::Position;
 use mustardbay_process::dialer::Dialer;
 use mustardbay_wire::Cancel;
@@ -40,6 +41,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause between two attempts to reach a pool.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// Silence after which a pool that owes answers is asked for a sign of life.
+const PROBE_AFTER: Duration = Duration::from_millis(500);
+/// Time for a pool to give a sign of life.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Messages that may wait while the connection is busy.
 const OUTBOX_MESSAGES: usize = 16 * 1024;
 /// Messages that are written before the connection is flushed.
@@ -342,14 +347,57 @@
         Ok(())
     };
     let read = async {
-        while let Some(message) = source.next().await {
-            let Some(link) = link.upgrade() else { break };
+        loop {
+            let message = match timeout(PROBE_AFTER, source.next()).await {
+                Ok(message) => message,
+                Err(_) => match probe(link, &mut source).await {
+                    Probed::Alive(message) => message,
+                    Probed::Idle => continue,
+                    Probed::Dead => return Err(silent()),
+                },
+            };
+            let (Some(message), Some(link)) = (message, link.upgrade()) else {
+                return Ok(());
+            };
             link.receive(message?);
         }
-        Ok(())
     };
     tokio::select! {
         ended = write => ended,
         ended = read => ended,
     }
 }
+
+/// What became of a connection that was silent.
+enum Probed {
+    /// It brought a message, or its end.
+    Alive(Option<Result<FromPool, CodecError>>),
+    /// Nothing is waited for.
+    Idle,
+    /// It is silent although the pool was asked.
+    Dead,
+}
+
+/// Asks a pool that owes answers for a sign of life.
+async fn probe(link: &Weak<PoolLink>, source: &mut SplitStream<Socket>) -> Probed {
+    let Some(link) = link.upgrade() else {
+        return Probed::Alive(None);
+    };
+    if link.waiting() == 0 {
+        return Probed::Idle;
+    }
+    // A pool refuses a group that it does not know at once, so any live pool answers this.
+    link.tell(to_pool::Body::Confirm(ConfirmPosition {
+        request: NEXT_REQUEST.fetch_add(1, Ordering::Relaxed),
+        ..ConfirmPosition::default()
+    }));
+    drop(link);
+    match timeout(PROBE_TIMEOUT, source.next()).await {
+        Ok(message) => Probed::Alive(message),
+        Err(_) => Probed::Dead,
+    }
+}
+
+fn silent() -> CodecError {
+    std::io::Error::from(std::io::ErrorKind::TimedOut).into()
+}
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -16,6 +16,7 @@
 mod transaction;
 
 use std::sync::Arc;
+use std::sync::Weak;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -48,6 +49,7 @@
 use crate::groups::SharedSight;
 use crate::pools::Answer;
 use crate::pools::AnswerSender;
+use crate::pools::PoolLink;
 use crate::rates::AccountRate;
 use crate::session::batch::Batch;
 use crate::session::login::Grant;
@@ -111,6 +113,7 @@
     reported: Option<SessionToken>,
     statements: Statements,
     transaction: Transaction,
+    used: Vec<Weak<PoolLink>>,
     skipping: bool,
     flushing: bool,
     answers_in: AnswerSender,
@@ -142,6 +145,7 @@
             reported: None,
             statements: Statements::new(),
             transaction: Transaction::Idle,
+            used: Vec::new(),
             skipping: false,
             flushing: false,
             answers_in,
@@ -313,8 +317,8 @@
 
     async fn close(mut self, end: End) {
         self.ctx.sessions.remove(self.handle.pid);
-        if let Transaction::Held(held) = &self.transaction {
-            held.link.release(self.id);
+        for link in self.used.iter().filter_map(Weak::upgrade) {
+            link.release(self.id);
         }
         let last = match &end {
             End::Closed | End::Protocol(ProtocolError::Io(_)) => return,
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -140,6 +141,7 @@
             return Ok((Ended::NotSent, false));
         };
         self.handle.run(&target.link, number);
+        self.remember(&target.link);
         let mut request = Request {
             link: &target.link,
             number,
@@ -174,6 +176,14 @@
         Ok((ended, request.started))
     }
 
+    /// Remembers a pool that knows of the session, to tell it of the session's end.
+    fn remember(&mut self, link: &Arc<PoolLink>) {
+        let known = |used: &Weak<PoolLink>| std::ptr::eq(used.as_ptr(), Arc::as_ptr(link));
+        if !self.used.iter().any(known) {
+            self.used.push(Arc::downgrade(link));
+        }
+    }
+
     fn fail(&self, target: &Target) {
         let now = std::time::Instant::now();
         self.sight
--- a/crates/entry/tests/entry/fake_pool.rs
+++ b/crates/entry/tests/entry/fake_pool.rs
@@ -11,6 +11,7 @@
 use futures::SinkExt;
 use futures::StreamExt;
 use mustardbay_policy::position::Position;
+use mustardbay_policy::refusal::Reason;
 use mustardbay_policy::refusal::Refusal;
 use mustardbay_wire::Chunk;
 use mustardbay_wire::Confirmed;
@@ -55,6 +56,7 @@
     log: Vec<Submit>,
     confirms: u64,
     holds_confirms: bool,
+    mute: bool,
     held: Vec<Body>,
     releases: Vec<u64>,
     cancels: Vec<u64>,
@@ -125,6 +127,13 @@
         self.state.lock().unwrap().holds_confirms = hold;
     }
 
+    /// Makes the pool answer nothing any more on its open connections.
+    pub fn mute(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.mute = true;
+        state.script.push_back(Act::Hang);
+    }
+
     /// Returns the number of confirmations that were asked for.
     pub fn confirms(&self) -> u64 {
         self.state.lock().unwrap().confirms
@@ -188,6 +197,11 @@
                 state.credits += credit.bytes;
                 Some(Vec::new())
             }
+            to_pool::Body::Confirm(probe) if probe.group.is_empty() => {
+                let refusal = Refusal::not_run(Reason::StaleTerm, "group is not known", None);
+                let answer = Body::Refused(Refused::new(probe.request, refusal));
+                Some(if state.mute { Vec::new() } else { vec![answer] })
+            }
             to_pool::Body::Confirm(confirm) => {
                 state.confirms += 1;
                 let answer = Body::Confirmed(Confirmed {
--- a/crates/entry/tests/entry/routing.rs
+++ b/crates/entry/tests/entry/routing.rs
@@ -256,3 +256,17 @@
         .unwrap();
     assert_eq!(bed.pool.log().len(), 2);
 }
+
+#[tokio::test]
+async fn silent_pool_is_given_up_before_the_deadline() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    client
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
+    bed.pool.mute();
+    let rows = value(&client, "SELECT 1").await.unwrap();
+    assert_ne!(rows, "");
+    assert_eq!(bed.pool.log().len(), 3);
+}
--- a/crates/entry/tests/entry/statements.rs
+++ b/crates/entry/tests/entry/statements.rs
@@ -191,3 +191,16 @@
     assert_eq!(refused(client.batch_execute(sql).await).0, code);
     assert!(bed.pool.log().is_empty());
 }
+
+#[tokio::test]
+async fn disconnect_is_told_to_pools_without_a_transaction() {
+    let bed = Bed::start().await;
+    let client = bed.client().await;
+    client
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
+    let session = bed.pool.log()[0].session;
+    drop(client);
+    eventually(|| bed.pool.releases() == [session]).await;
+}
