Bound what one account holds, and stop the work of lost entries

Cause: idle transactions of one account could take every connection of an upstream, a statement with a slot waited for a connection until its deadline, and reads of a dead entry kept their slots. Change: an account holds at most half of an upstream's connections; the wait for a connection is bounded and then refused; a transaction idle for a minute ends; with the link of an entry its reads are cancelled and its waiting requests never start, while writes that run go to their end. Conclusion: transactions no longer get around the fair share.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -3,10 +3,12 @@
 mod discipline;
 mod lane;
 mod service;
+mod shares;
 mod slots;
 
 pub use discipline::Discipline;
 pub use service::ServiceTime;
+pub use shares::ConnectionShares;
 pub use slots::Class;
 pub use slots::Offer;
 pub use slots::Request;
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use mustardbay_policy::queue::Class;
+use mustardbay_policy::queue::ConnectionShares;
 use mustardbay_policy::queue::Discipline;
 use mustardbay_policy::queue::Offer;
 use mustardbay_policy::queue::Request;
@@ -215,3 +216,15 @@
         }
     }
 }
+
+#[test]
+fn shares_half() {
+    let mut shares = ConnectionShares::new(4);
+    let (a, b) = ("a".into(), "b".into());
+    assert!(shares.take(&a));
+    assert!(shares.take(&a));
+    assert!(!shares.take(&a), "holds its half");
+    assert!(shares.take(&b));
+    shares.give(&a);
+    assert!(shares.take(&a));
+}
--- a/crates/pool/src/entry_link.rs
+++ b/crates/pool/src/entry_link.rs
@@ -12,6 +12,7 @@
 use mustardbay_wire::CodecError;
 use mustardbay_wire::ConfirmPosition;
 use mustardbay_wire::FromPool;
+use mustardbay_wire::Mode;
 use mustardbay_wire::Submit;
 use mustardbay_wire::ToPool;
 use mustardbay_wire::Wired;
@@ -26,6 +27,7 @@
 use crate::request::Answer;
 use crate::request::Batch;
 use crate::request::Session;
+use crate::request::Stop;
 use crate::request::Window;
 use crate::request::serve_confirm;
 use crate::request::serve_submit;
@@ -48,11 +50,13 @@
     requests: Arc<Mutex<HashMap<u64, Running>>>,
     sessions: HashMap<u64, SharedSession>,
     tasks: TaskTracker,
+    /// Fires when the link is lost.
+    gone: CancellationToken,
 }
 
 /// Handle on a request that runs.
 struct Running {
-    cancel: CancellationToken,
+    stop: Stop,
     window: Arc<Window>,
 }
 
@@ -69,6 +73,7 @@
         requests: Arc::default(),
         sessions: HashMap::new(),
         tasks: TaskTracker::new(),
+        gone: CancellationToken::new(),
     };
     let mut sweeps = link.pool.timer().every(SWEEP_PERIOD);
     let ended = loop {
@@ -110,7 +115,7 @@
             }
             Some(to_pool::Body::Cancel(cancel)) => {
                 if let Some(running) = lock(&self.requests).get(&cancel.request) {
-                    running.cancel.cancel();
+                    running.stop.cancel();
                 }
             }
             Some(to_pool::Body::Release(release)) => {
@@ -128,9 +133,9 @@
         let request = submit.request;
         let window = Arc::new(Window::new(submit.window));
         let batch = Batch::new(submit, Instant::now());
-        let cancel = CancellationToken::new();
+        let stop = Stop::new(self.gone.clone(), batch.mode == Mode::Read);
         let running = Running {
-            cancel: cancel.clone(),
+            stop: stop.clone(),
             window: Arc::clone(&window),
         };
         lock(&self.requests).insert(request, running);
@@ -139,7 +144,7 @@
         let requests = Arc::clone(&self.requests);
         let pool = self.pool.clone();
         let served = self.pool.requests().track_future(async move {
-            serve_submit(pool, session, batch, answer, cancel).await;
+            serve_submit(pool, session, batch, answer, stop).await;
             lock(&requests).remove(&request);
         });
         self.tasks.spawn(served);
@@ -167,18 +172,18 @@
             .spawn(serve_confirm(self.pool.clone(), request, answer));
     }
 
-    /// Ends what the entry left behind.
-    ///
-    /// Reads that still run are cancelled with everything else: nobody takes their answer.
+    /// Ends what the entry left behind: nobody takes its answers any more.
     async fn release_all(self) {
         let Self {
             outbox,
             requests,
             sessions,
             tasks,
+            gone,
             ..
         } = self;
         drop(outbox);
+        gone.cancel();
         for running in lock(&requests).values() {
             running.window.grow(u64::MAX);
         }
--- a/crates/pool/src/request.rs
+++ b/crates/pool/src/request.rs
@@ -9,6 +9,7 @@
 mod serve;
 mod session;
 mod statement;
+mod stop;
 mod window;
 
 pub(crate) use answer::Answer;
@@ -16,4 +17,5 @@
 pub(crate) use serve::serve_confirm;
 pub(crate) use serve::serve_submit;
 pub(crate) use session::Session;
+pub(crate) use stop::Stop;
 pub(crate) use window::Window;
--- a/crates/pool/src/request/recorded.rs
+++ b/crates/pool/src/request/recorded.rs
@@ -16,7 +16,6 @@
 use mustardbay_policy::request_record::may_end_transaction;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
-use tokio_util::sync::CancellationToken;
 
 use super::answer::Answer;
 use super::batch::Batch;
@@ -31,6 +30,7 @@
 use super::session::Session;
 use super::session::roll_back;
 use super::statement::digest;
+use super::stop::Stop;
 use crate::upstream::Leased;
 use crate::upstream::Rows;
 use crate::upstream::SQLSTATE_READ_ONLY;
@@ -57,15 +57,15 @@
     session: &mut Session,
     batch: &Batch,
     answer: &mut Answer,
-    cancel: &CancellationToken,
+    stop: &Stop,
 ) -> Result<Served, Refusal> {
     let id = batch.idempotency_key.as_deref().unwrap_or_default();
     let key = RecordKey::new(&batch.account, id).map_err(|e| unsupported(e.to_string()))?;
     let digest = digest(&batch.messages).map_err(|e| unsupported(e.to_string()))?;
-    let (mut leased, slot) = prepare_unless_ended(place, session, batch, cancel).await?;
+    let (mut leased, slot) = prepare_unless_ended(place, session, batch, stop).await?;
     let (position, bytes) = match claim(&mut leased, &key, &digest, batch.deadline).await? {
         Claimed::Taken => replay(leased, &key, &digest, batch.deadline).await?,
-        Claimed::Fresh => match run_claimed(leased, batch, answer, cancel).await? {
+        Claimed::Fresh => match run_claimed(leased, batch, answer, stop).await? {
             Ran::Failed(error) => (None, error),
             Ran::Done(leased, bytes) => commit(*leased, &key, bytes, batch.deadline).await?,
         },
@@ -126,10 +126,10 @@
     leased: Leased,
     batch: &Batch,
     answer: &mut Answer,
-    cancel: &CancellationToken,
+    stop: &Stop,
 ) -> Result<Ran, Refusal> {
     let contained = !may_end_transaction(&batch.messages);
-    let ran = run(leased, batch, answer, cancel).await;
+    let ran = run(leased, batch, answer, stop).await;
     let (leased, summary) = ran.map_err(|refusal| match refusal.outcome {
         Outcome::Unknown if contained => rolled_back(refusal.message),
         _ => refusal,
--- a/crates/pool/src/request/serve.rs
+++ b/crates/pool/src/request/serve.rs
@@ -14,7 +14,6 @@
 use tokio::time::Instant;
 use tokio::time::error::Elapsed;
 use tokio::time::timeout_at;
-use tokio_util::sync::CancellationToken;
 
 use super::answer::Answer;
 use super::batch::Batch;
@@ -31,6 +30,7 @@
 use super::refusals::unsupported;
 use super::session::Session;
 use super::session::roll_back;
+use super::stop::Stop;
 use crate::catalog::Catalog;
 use crate::server::Pool;
 use crate::upstream::Claim;
@@ -67,10 +67,10 @@
     session: Arc<tokio::sync::Mutex<Session>>,
     batch: Batch,
     mut answer: Answer,
-    cancel: CancellationToken,
+    stop: Stop,
 ) {
     let mut session = session.lock().await;
-    let served = serve(&pool, &mut session, &batch, &mut answer, &cancel).await;
+    let served = serve(&pool, &mut session, &batch, &mut answer, &stop).await;
     let positions = pool.positions(&batch.key.group);
     match served {
         Ok(Served { status, committed }) => answer.finish(status, committed, positions).await,
@@ -90,20 +90,20 @@
     session: &mut Session,
     batch: &Batch,
     answer: &mut Answer,
-    cancel: &CancellationToken,
+    stop: &Stop,
 ) -> Result<Served, Refusal> {
     let place = locate(pool, &batch.key)?;
     check_open(pool, &place, batch)?;
     match (&batch.idempotency_key, batch.mode) {
         (None, _) | (Some(_), Mode::Read) => {}
         (Some(_), Mode::Write) => {
-            return serve_recorded(&place, session, batch, answer, cancel).await;
+            return serve_recorded(&place, session, batch, answer, stop).await;
         }
         (Some(_), _) => return Err(unsupported("request ids need a statement of their own")),
     }
-    let (leased, slot) = prepare_unless_ended(&place, session, batch, cancel).await?;
+    let (leased, slot) = prepare_unless_ended(&place, session, batch, stop).await?;
     let started = Instant::now();
-    let (leased, summary) = run(leased, batch, answer, cancel).await?;
+    let (leased, summary) = run(leased, batch, answer, stop).await?;
     drop(slot);
     pool.metrics().record_service(started.elapsed());
     if let Some(error) = &summary.rejection {
@@ -141,7 +141,7 @@
     place: &Place,
     session: &mut Session,
     batch: &Batch,
-    cancel: &CancellationToken,
+    stop: &Stop,
 ) -> Result<(Leased, Slot), Refusal> {
     let ended = async {
         if batch.mode == Mode::Continue {
@@ -152,7 +152,7 @@
     let began = Instant::now();
     let prepared = tokio::select! {
         biased;
-        () = cancel.cancelled() => return Err(cancelled()),
+        () = stop.before_start() => return Err(cancelled()),
         ended = ended => return Err(refuse_ended(ended)),
         prepared = prepare(place, session, batch) => prepared?,
     };
@@ -286,9 +286,15 @@
 }
 
 async fn lease(place: &Place, batch: &Batch) -> Result<Leased, Refusal> {
-    let leased = place.upstream.lease(batch.term, batch.deadline).await;
+    let upstream = &place.upstream;
+    let leased = upstream
+        .lease(&batch.account, batch.term, batch.deadline)
+        .await;
     leased.map_err(|e| match (e.code(), &e) {
         (Some(SQLSTATE_TERM | SQLSTATE_TOO_MANY), _) => rejected(&e),
+        (_, UpstreamError::NoConnection) => {
+            Refusal::not_run(Reason::Overloaded, e.to_string(), Some(BUSY_RETRY))
+        }
         (_, UpstreamError::Paused(pause)) => {
             Refusal::not_run(Reason::NoUpstream, e.to_string(), Some(*pause))
         }
@@ -301,7 +307,7 @@
     mut leased: Leased,
     batch: &Batch,
     answer: &mut Answer,
-    cancel: &CancellationToken,
+    stop: &Stop,
 ) -> Result<(Leased, Summary), Refusal> {
     let target = leased.upstream.target.clone();
     let message = leased.con.cancel_message();
@@ -314,7 +320,7 @@
         tokio::pin!(work);
         let stopped = async {
             tokio::select! {
-                () = cancel.cancelled() => {}
+                () = stop.while_running() => {}
                 () = tokio::time::sleep_until(batch.deadline) => {}
             }
         };
--- a/crates/pool/src/request/session.rs
+++ b/crates/pool/src/request/session.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::upstream::Leased;
@@ -10,10 +11,14 @@
 /// Longest time that a rollback may take before the connection is closed instead.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time that a transaction may be idle between two statements.
+const IDLE_TRANSACTION: Duration = Duration::from_mins(1);
+
 /// Session of an entry; locked while one of its requests runs.
 #[derive(Debug, Default)]
 pub(crate) struct Session {
     held: Option<Leased>,
+    since: Option<Instant>,
 }
 
 impl Session {
@@ -24,17 +29,19 @@
         Some(leased)
     }
 
-    /// Tells whether the open transaction must end, by its term or because its upstream leaves.
+    /// Tells whether the open transaction must end: by term, idle time, or a leaving upstream.
     pub(crate) fn is_overdue(&self) -> bool {
         self.held.as_ref().is_some_and(|held| {
             let condition = held.upstream.condition();
-            condition.ends_transaction(held.con.term)
+            let idle = self.since.map_or(Duration::ZERO, |since| since.elapsed());
+            condition.ends_transaction(held.con.term) || idle > IDLE_TRANSACTION
         })
     }
 
     /// Holds the connection of an open transaction.
     pub(super) fn hold(&mut self, leased: Leased) {
         leased.upstream.slots.open_transaction();
+        self.since = Some(Instant::now());
         self.held = Some(leased);
     }
 
--- a/crates/pool/src/upstream.rs
+++ b/crates/pool/src/upstream.rs
@@ -8,6 +8,7 @@
 mod known;
 mod leased;
 mod login;
+mod share;
 mod slots;
 mod warm;
 
@@ -18,10 +19,12 @@
 use std::time::Duration;
 
 use mustardbay_link::StewardLink;
+use mustardbay_policy::names::AccountName;
 use mustardbay_policy::names::GroupName;
 use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::position::Position;
 use mustardbay_policy::position::Term;
+use mustardbay_policy::queue::ConnectionShares;
 use mustardbay_policy::queue::Discipline;
 use mustardbay_policy::reconnect::Reconnect;
 use mustardbay_wire::UpstreamHealth;
@@ -33,6 +36,7 @@
 use confirmations::Confirmations;
 use control::Control;
 use known::Known;
+use share::Share;
 use warm::Idle;
 use warm::WARM_CONNECTIONS;
 
@@ -59,6 +63,8 @@
 /// Pause between two looks at the position of a replica that is behind.
 const BEHIND_POLL_PAUSE: Duration = Duration::from_millis(2);
 
+/// Longest time that a statement with a slot waits for a connection.
+const CONNECTION_WAIT: Duration = Duration::from_millis(100);
 /// Longest time that an attempt to connect may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which an upstream that nobody asks for keeps no connection.
@@ -90,6 +96,7 @@
     leases: Arc<Semaphore>,
     idle: Mutex<Idle>,
     usable: usize,
+    shares: Arc<Mutex<ConnectionShares>>,
     condition: watch::Sender<Condition>,
     reconnect: Mutex<Reconnect>,
     warming: tokio::sync::Mutex<()>,
@@ -120,6 +127,7 @@
             leases: Arc::new(Semaphore::new(usable as usize)),
             idle: Mutex::default(),
             usable: usable as usize,
+            shares: Arc::new(Mutex::new(ConnectionShares::new(usable as usize))),
             condition: watch::Sender::default(),
             reconnect: Mutex::default(),
             warming: tokio::sync::Mutex::default(),
@@ -136,12 +144,17 @@
     /// Leases a connection of `term`, an idle one if there is one.
     pub(crate) async fn lease(
         self: &Arc<Self>,
+        account: &AccountName,
         term: Term,
         deadline: Instant,
     ) -> Result<Leased, UpstreamError> {
+        let Some(share) = Share::take(&self.shares, account) else {
+            return Err(UpstreamError::NoConnection);
+        };
+        let until = deadline.min(Instant::now() + CONNECTION_WAIT);
         let leases = Arc::clone(&self.leases);
-        let Ok(Ok(permit)) = timeout_at(deadline, leases.acquire_owned()).await else {
-            return Err(UpstreamError::Timeout);
+        let Ok(Ok(permit)) = timeout_at(until, leases.acquire_owned()).await else {
+            return Err(UpstreamError::NoConnection);
         };
         self.mark_used();
         let (idle, last) = {
@@ -156,7 +169,7 @@
         if last {
             tokio::spawn(Arc::clone(self).keep_warm());
         }
-        Ok(Leased::new(Arc::clone(self), con, permit))
+        Ok(Leased::new(Arc::clone(self), con, permit, share))
     }
 
     /// Opens a connection, unless the last attempt failed a moment ago.
--- a/crates/pool/src/upstream/error.rs
+++ b/crates/pool/src/upstream/error.rs
@@ -39,6 +39,9 @@
     /// The upstream sent something else than expected.
     #[error("unexpected answer: {0}")]
     Protocol(&'static str),
+    /// Every connection that the account may have is taken.
+    #[error("no connection to the upstream is free")]
+    NoConnection,
     /// The last attempt to connect failed, and the next one is not due yet.
     #[error("upstream cannot be reached")]
     Paused(Duration),
--- a/crates/pool/src/upstream/leased.rs
+++ b/crates/pool/src/upstream/leased.rs
@@ -6,6 +6,7 @@
 
 use super::Upstream;
 use super::connection::Connection;
+use super::share::Share;
 
 /// Connection that one owner uses; closed on drop unless it is given back.
 #[derive(Debug)]
@@ -13,6 +14,7 @@
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) con: Connection,
     _permit: OwnedSemaphorePermit,
+    _share: Share,
 }
 
 impl Leased {
@@ -20,11 +22,13 @@
         upstream: Arc<Upstream>,
         con: Connection,
         permit: OwnedSemaphorePermit,
+        share: Share,
     ) -> Self {
         Self {
             upstream,
             con,
             _permit: permit,
+            _share: share,
         }
     }
 
--- a/crates/pool/tests/pool/cancellation.rs
+++ b/crates/pool/tests/pool/cancellation.rs
@@ -82,3 +82,40 @@
     let text = String::from_utf8_lossy(&answered.bytes).into_owned();
     assert!(text.contains("SELECT 3"), "own answer: {text}");
 }
+
+#[tokio::test]
+async fn lost_link_cancels_read() {
+    let fixture = Fixture::start().await;
+    let mut entry = fixture.entry().await;
+    entry.start(submit("r", Mode::Read, "HANG")).await;
+    let replica = fixture.replica.clone();
+    eventually("statement runs", || replica.state().running == 1).await;
+    drop(entry);
+    eventually("cancelled", || replica.state().cancelled.len() == 1).await;
+    let pool = fixture.pool.clone();
+    eventually("nothing runs", || pool.dump()["in_flight"] == 0).await;
+}
+
+#[tokio::test]
+async fn lost_link_starts_nothing() {
+    let fixture = Fixture::start().await;
+    let mut entry = fixture.entry().await;
+    for session in 0..3 {
+        let sql = if session < 2 { "HANG" } else { "INSERT 1" };
+        let write = Submit {
+            session,
+            ..submit("p", Mode::Write, sql)
+        };
+        entry.start(write).await;
+    }
+    let pool = fixture.pool.clone();
+    eventually("it waits", || pool.dump()["upstreams"][0]["waiting"] == 1).await;
+    drop(entry);
+    eventually("it is dropped", || {
+        pool.dump()["upstreams"][0]["waiting"] == 0
+    })
+    .await;
+    fixture.primary.unhang.notify_waiters();
+    eventually("nothing runs", || pool.dump()["in_flight"] == 0).await;
+    assert_eq!(fixture.primary.statements(), ["HANG", "HANG"]);
+}
--- a/crates/pool/tests/pool/overload.rs
+++ b/crates/pool/tests/pool/overload.rs
@@ -74,3 +74,23 @@
     let at = log.iter().position(|sql| sql == "SELECT own");
     assert!(at.expect("ran") <= 3, "{log:?}");
 }
+
+#[tokio::test]
+async fn transactions_hold_half() {
+    let fixture = Fixture::start().await;
+    let mut entry = fixture.entry().await;
+    let begin = |account: &str, session| Submit {
+        session,
+        account: account.to_owned(),
+        ..submit("p", Mode::Begin, "BEGIN")
+    };
+    for session in 0..2 {
+        let answered = entry.run(begin("greedy", session)).await;
+        assert!(matches!(answered.end, End::Finished { status: 'T', .. }));
+    }
+    let refusal = entry.run(begin("greedy", 2)).await.refusal();
+    assert_eq!(refusal.reason, Reason::Overloaded);
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+    let answered = entry.run(begin("other", 3)).await;
+    assert!(matches!(answered.end, End::Finished { status: 'T', .. }));
+}
