Split the course of a request into place, run and serve

Test lost_link_starts_nothing failed once: it dropped the link before the two statements ran, which then rightly never started. Change: three modules, no change of behaviour; the test waits for the statements to run first.

--- a/crates/pool/src/request/recorded.rs
+++ b/crates/pool/src/request/recorded.rs
@@ -19,13 +19,13 @@
 
 use super::answer::Answer;
 use super::batch::Batch;
+use super::place::Place;
 use super::refusals::BUSY_RETRY;
 use super::refusals::rejected;
 use super::refusals::unsupported;
-use super::serve::Place;
+use super::run::run;
 use super::serve::Served;
 use super::serve::prepare_unless_ended;
-use super::serve::run;
 use super::serve::wait_durable;
 use super::session::Session;
 use super::session::roll_back;
--- a/crates/pool/src/request/serve.rs
+++ b/crates/pool/src/request/serve.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use mustardbay_policy::position::Position;
 use mustardbay_policy::position::Term;
 use mustardbay_policy::queue::Class;
@@ -12,49 +11,35 @@
 use mustardbay_wire::ConfirmPosition;
 use mustardbay_wire::Mode;
 use tokio::time::Instant;
-use tokio::time::error::Elapsed;
-use tokio::time::timeout_at;
 
 use super::answer::Answer;
 use super::batch::Batch;
-use super::cancel::send_cancel;
 use super::exchange::Summary;
-use super::exchange::exchange;
+use super::place::Place;
+use super::place::check_condition;
+use super::place::check_open;
+use super::place::locate;
+use super::place::refuse_ended;
 use super::recorded::serve_recorded;
 use super::refusals::BUSY_RETRY;
 use super::refusals::cancelled;
-use super::refusals::draining;
-use super::refusals::leaving;
 use super::refusals::rejected;
 use super::refusals::stale;
 use super::refusals::unsupported;
+use super::run::run;
 use super::session::Session;
 use super::session::roll_back;
 use super::stop::Stop;
-use crate::catalog::Catalog;
 use crate::server::Pool;
 use crate::upstream::Claim;
-use crate::upstream::Ended;
 use crate::upstream::Leased;
 use crate::upstream::SQLSTATE_TERM;
 use crate::upstream::SQLSTATE_TOO_MANY;
 use crate::upstream::Slot;
-use crate::upstream::Target;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamError;
 use crate::upstream::UpstreamKey;
 
-/// Time that a cancelled statement gets to end.
-const CANCEL_GRACE: Duration = Duration::from_secs(1);
-
-/// Upstream of a request and what the view says of it.
-pub(super) struct Place {
-    pool: Pool,
-    pub(super) upstream: Arc<Upstream>,
-    primary: bool,
-    catalog: Arc<Catalog>,
-}
-
 /// End of a request that was served.
 pub(super) struct Served {
     pub(super) status: u8,
@@ -190,63 +175,6 @@
     })
 }
 
-/// Finds the upstream in the view.
-fn locate(pool: &Pool, key: &UpstreamKey) -> Result<Place, Refusal> {
-    let Some(view) = pool.view() else {
-        return Err(stale("pool has no view yet"));
-    };
-    let Some(state) = view.groups.get(&key.group) else {
-        return Err(stale("group is not known"));
-    };
-    let catalog = pool.catalog(&view);
-    let Some(upstream) = pool.upstream(&catalog, key) else {
-        return Err(stale("upstream is not in the bundle"));
-    };
-    let leaving = catalog.upstream(key).is_some_and(|entry| entry.leaving);
-    upstream.fit(state.term, leaving);
-    Ok(Place {
-        pool: pool.clone(),
-        upstream,
-        primary: state.primary.as_ref() == Some(&key.upstream),
-        catalog,
-    })
-}
-
-/// Checks that new work may start: the process serves, the term is in force, the upstream stays,
-/// and a primary's replicas confirm what it writes.
-fn check_open(pool: &Pool, place: &Place, batch: &Batch) -> Result<(), Refusal> {
-    if batch.mode == Mode::Continue {
-        return Ok(());
-    }
-    if pool.life().is_draining() {
-        return Err(draining());
-    }
-    check_condition(place, batch.term)?;
-    let bound = Duration::from_millis(place.catalog.bundle.limits.suspect_ms);
-    if place.primary && batch.may_commit() && place.upstream.confirmations.is_suspect(bound) {
-        return Err(Refusal::not_run(
-            Reason::NoPrimary,
-            "no replica confirms the primary",
-            Some(BUSY_RETRY),
-        ));
-    }
-    Ok(())
-}
-
-fn check_condition(place: &Place, term: Term) -> Result<(), Refusal> {
-    match place.upstream.condition().ended(term) {
-        Some(ended) => Err(refuse_ended(ended)),
-        None => Ok(()),
-    }
-}
-
-fn refuse_ended(ended: Ended) -> Refusal {
-    match ended {
-        Ended::Term(term) => stale(format!("term {term} is in force")),
-        Ended::Leaving => leaving(),
-    }
-}
-
 fn held(session: &mut Session, batch: &Batch) -> Result<Leased, Refusal> {
     if session.is_overdue() {
         return Err(stale("the transaction's term or upstream has ended"));
@@ -302,65 +230,6 @@
     })
 }
 
-/// Exchanges the batch; the connection comes back only if its answer was read to the end.
-pub(super) async fn run(
-    mut leased: Leased,
-    batch: &Batch,
-    answer: &mut Answer,
-    stop: &Stop,
-) -> Result<(Leased, Summary), Refusal> {
-    let target = leased.upstream.target.clone();
-    let message = leased.con.cancel_message();
-    let upstream = Arc::clone(&leased.upstream);
-    let ended = {
-        let work = timeout_at(
-            batch.deadline + CANCEL_GRACE,
-            exchange(&mut leased.con, batch, answer),
-        );
-        tokio::pin!(work);
-        let stopped = async {
-            tokio::select! {
-                () = stop.while_running() => {}
-                () = tokio::time::sleep_until(batch.deadline) => {}
-            }
-        };
-        tokio::select! {
-            ended = &mut work => ended,
-            () = stopped => match &message {
-                Some(message) => cancel_and_wait(work, &target, message).await,
-                None => work.await,
-            },
-        }
-    };
-    if let Ok(Ok(summary)) = &ended {
-        upstream.known.report_all(&summary.reports);
-    }
-    match ended {
-        Ok(Ok(summary)) => Ok((leased, summary)),
-        Ok(Err(e)) => Err(Refusal::unknown(Reason::ConnectionLost, e.to_string())),
-        Err(_) => Err(Refusal::unknown(
-            Reason::ConnectionLost,
-            "no answer before the deadline",
-        )),
-    }
-}
-
-/// Waits for the end of work that is being cancelled.
-///
-/// Where the cancel request may still be under way, the work counts as failed, so that its
-/// connection is closed and the request cannot hit a later statement.
-async fn cancel_and_wait(
-    work: impl Future<Output = Result<Result<Summary, UpstreamError>, Elapsed>>,
-    target: &Target,
-    message: &Bytes,
-) -> Result<Result<Summary, UpstreamError>, Elapsed> {
-    let (ended, sent) = tokio::join!(work, send_cancel(target, message));
-    match ended {
-        Ok(Ok(_)) if !sent => Ok(Err(UpstreamError::Protocol("cancel request not confirmed"))),
-        ended => ended,
-    }
-}
-
 /// Waits until what the batch committed is durable, and returns its position.
 async fn settle(
     place: &Place,
--- a/crates/pool/tests/pool/cancellation.rs
+++ b/crates/pool/tests/pool/cancellation.rs
@@ -108,6 +108,8 @@
         };
         entry.start(write).await;
     }
+    let primary = fixture.primary.clone();
+    eventually("slots are taken", || primary.state().running == 2).await;
     let pool = fixture.pool.clone();
     eventually("it waits", || pool.dump()["upstreams"][0]["waiting"] == 1).await;
     drop(entry);
@@ -115,7 +117,10 @@
         pool.dump()["upstreams"][0]["waiting"] == 0
     })
     .await;
-    fixture.primary.unhang.notify_waiters();
-    eventually("nothing runs", || pool.dump()["in_flight"] == 0).await;
+    eventually("nothing runs", || {
+        primary.unhang.notify_waiters();
+        pool.dump()["in_flight"] == 0
+    })
+    .await;
     assert_eq!(fixture.primary.statements(), ["HANG", "HANG"]);
 }
