Serve new work for a moment at the start of a drain

Cause: e2e membership::drain_finishes_transaction failed in one of two runs: the drained pool was gone before the other entries knew another home, so that they refused a statement. Conclusion: the entry's own retry to another home remains the remedy where a pool dies.

--- a/crates/pool/src/drain.rs
+++ b/crates/pool/src/drain.rs
@@ -12,9 +12,13 @@
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 
 /// Waits for the drain, then until nothing is in flight or the bound has passed.
+///
+/// New work is still served for a while, until entries know another home of the upstreams.
 pub(crate) async fn drain(pool: Pool) {
     pool.life().drained_from_now().await;
     let until = Instant::now() + pool.drain_bound();
+    tokio::time::sleep(pool.linger()).await;
+    pool.refuse_new();
     while pool.in_flight() > 0 && Instant::now() < until {
         tokio::time::sleep(DRAIN_POLL).await;
     }
--- a/crates/pool/src/request/place.rs
+++ b/crates/pool/src/request/place.rs
@@ -55,7 +55,7 @@
     if batch.mode == Mode::Continue {
         return Ok(());
     }
-    if pool.life().is_draining() {
+    if pool.refuses_new() {
         return Err(draining());
     }
     check_condition(place, batch.term)?;
--- a/crates/pool/src/server.rs
+++ b/crates/pool/src/server.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -51,6 +53,7 @@
     requests: TaskTracker,
     metrics: PoolMetrics,
     timer: Timer,
+    refuses_new: AtomicBool,
 }
 
 impl Pool {
@@ -67,6 +70,7 @@
             requests: TaskTracker::new(),
             metrics: PoolMetrics::new(meter),
             timer: Timer::new(),
+            refuses_new: AtomicBool::new(false),
         };
         Self {
             shared: Arc::new(shared),
@@ -97,6 +101,7 @@
             "domain": self.shared.settings.domain,
             "bundle": self.view().map(|view| view.bundle.version),
             "draining": self.shared.life.is_draining(),
+            "refuses_new": self.refuses_new(),
             "entries": self.shared.links.len(),
             "in_flight": self.in_flight(),
             "groups": self.view().map(|view| view.groups.clone()),
@@ -125,6 +130,20 @@
         Duration::from_millis(self.shared.settings.drain_ms)
     }
 
+    pub(crate) fn linger(&self) -> Duration {
+        Duration::from_millis(self.shared.settings.linger_ms)
+    }
+
+    /// Refuses new work from now on.
+    pub(crate) fn refuse_new(&self) {
+        self.shared.refuses_new.store(true, Ordering::Release);
+    }
+
+    /// Tells whether new work is refused because the process ends.
+    pub(crate) fn refuses_new(&self) -> bool {
+        self.shared.refuses_new.load(Ordering::Acquire)
+    }
+
     /// Returns how many requests run and transactions are open.
     pub(crate) fn in_flight(&self) -> usize {
         let open = |upstream: &Arc<Upstream>| upstream.slots.transactions();
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -35,6 +35,13 @@
     /// Longest time that a drain waits for what is in flight, in milliseconds.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
+    /// Time in a drain during which new work is still served, in milliseconds.
+    #[serde(default = "default_linger_ms")]
+    pub linger_ms: u64,
+}
+
+fn default_linger_ms() -> u64 {
+    1_000
 }
 
 fn default_drain_ms() -> u64 {
--- a/crates/pool/tests/pool/fixture.rs
+++ b/crates/pool/tests/pool/fixture.rs
@@ -50,6 +50,15 @@
     }
 
     pub async fn with_limits(limits: Limits) -> Self {
+        Self::with(limits, 0).await
+    }
+
+    /// Starts a pool that serves new work for `linger_ms` of its drain.
+    pub async fn with_linger(linger_ms: u64) -> Self {
+        Self::with(limits(), linger_ms).await
+    }
+
+    async fn with(limits: Limits, linger_ms: u64) -> Self {
         let primary = FakeUpstream::start("primary").await;
         let replica = FakeUpstream::start("replica").await;
         let steward = FakeSteward::start(view(&primary, &replica, limits)).await;
@@ -66,6 +75,7 @@
             },
             queue: Discipline::Fair,
             drain_ms: 10_000,
+            linger_ms,
         };
         let life = Lifecycle::new();
         let link = StewardLink::start(steward.address.clone(), "pool", 1);
--- a/crates/pool/tests/pool/operations.rs
+++ b/crates/pool/tests/pool/operations.rs
@@ -137,6 +137,8 @@
     let mut entry = fixture.entry().await;
     entry.sql("p", Mode::Begin, "BEGIN").await;
     fixture.life.drain();
+    let pool = fixture.pool.clone();
+    eventually("the linger ends", || pool.dump()["refuses_new"] == true).await;
     let read = Submit {
         session: 2,
         ..submit("r", Mode::Read, "SELECT 1")
@@ -201,3 +203,14 @@
     let reached = || pool.dump()["upstreams"][0]["term"] == term;
     eventually("new term", reached).await;
 }
+
+#[tokio::test]
+async fn drain_lingers() {
+    let fixture = Fixture::with_linger(600_000).await;
+    let mut entry = fixture.entry().await;
+    fixture.life.drain();
+    let pool = fixture.pool.clone();
+    eventually("the drain starts", || pool.dump()["draining"] == true).await;
+    let answered = entry.sql("r", Mode::Read, "SELECT 1").await;
+    assert!(matches!(answered.end, End::Finished { .. }));
+}
