--- a/crates/steward/tests/steward/main.rs
+++ b/crates/steward/tests/steward/main.rs
@@ -5,4 +5,5 @@
 mod groups;
 mod local;
 mod members;
+mod partition;
 mod site;
--- a/crates/steward/tests/steward/site.rs
+++ b/crates/steward/tests/steward/site.rs
@@ -51,9 +51,15 @@
         }
     }
 
-    /// Starts a steward; without `listed` the platform does not know of it.
+    /// Starts a steward that the platform does not list.
     pub async fn steward(&self, vm: &str, seeds: Vec<String>) -> Running {
-        let settings = StewardSettings {
+        start(self.settings(vm, seeds))
+            .await
+            .expect("steward starts")
+    }
+
+    pub fn settings(&self, vm: &str, seeds: Vec<String>) -> StewardSettings {
+        StewardSettings {
             vm: vm.into(),
             domain: format!("domain-{vm}").into(),
             local: "127.0.0.1:0".to_owned(),
@@ -69,8 +75,7 @@
                 password: "secret".to_owned(),
             },
             source: None,
-        };
-        start(settings).await.expect("steward starts")
+        }
     }
 
     /// Starts three stewards that the platform lists.
