--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod rate_study;
 pub mod relay;
 pub mod run;
+pub mod slopes;
 pub mod upstream;
