Let a restarted steward take over its own last life's rate share

Cause: after all virtual machines restarted one after the other nothing was served for more than 18 s, and a steward restarted in an outage refused its first draws with retry_after 999 ms. Change: a later life on the same virtual machine reclaims its last life's entry 5.2 s after its start, when every loan and grant of that life has lapsed, with an empty bucket and after the usual fences. Draws wait up to 300 ms in a steward's first 5 s, peers that are late are asked again after 100 ms, and a share that holds too little says 50 ms. Test: new_life_takes_over_after_loans_lapsed, restart_of_all_serves_again, and the schedule of fleet_never_exceeds with successions.

--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -22,6 +22,12 @@
 //!   gone for [`RECLAIM_WAIT`], which is longer, and after every listed virtual machine has said that
 //!   it holds no deed of the entry and will accept none.
 //!
+//! - A new life on the same virtual machine knows that the last one has ended, since it listens on
+//!   its addresses. It takes over the last one's entry after [`SUCCESSION_WAIT`], when every loan and
+//!   grant of the last life has lapsed, and with an empty bucket: the last life spent from one burst,
+//!   the new one starts at none, so any window holds one burst and one rate. The other virtual
+//!   machines are asked for a deed as in any reclaim.
+//!
 //! # What each choice trades
 //!
 //! - Loans that lapse against moves for good: a loan must be renewed while the demand lasts, but
@@ -76,3 +82,5 @@
 pub const FREEZE_GAP: Duration = Duration::from_secs(10);
 /// Time for which an owner must be gone before its entry may be reclaimed.
 pub const RECLAIM_WAIT: Duration = Duration::from_secs(15);
+/// Time after its own start at which a life may take over the entry of its virtual machine's last one.
+pub const SUCCESSION_WAIT: Duration = LOAN_TERM.saturating_add(LOAN_MARGIN);
--- a/crates/policy/src/escrow/borrowing.rs
+++ b/crates/policy/src/escrow/borrowing.rs
@@ -9,13 +9,13 @@
 /// Peers asked at once.
 const PEERS_ASKED: usize = 3;
 /// Longest wait for the answers of a round.
-const ROUND_WAIT: Duration = Duration::from_millis(8);
+const ROUND_WAIT: Duration = Duration::from_millis(25);
 /// Pause after a first round that brought nothing; doubled after each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
 /// Longest pause after a round that brought nothing.
 const LONGEST_PAUSE: Duration = Duration::from_millis(160);
 /// Time for which a peer that did not answer is not asked.
-const SILENCE: Duration = Duration::from_secs(1);
+const SILENCE: Duration = Duration::from_millis(100);
 
 /// Rounds of questions of one holder, with a pause that grows while they bring nothing.
 #[derive(Debug, Clone, Default)]
--- a/crates/policy/src/escrow/reclaim.rs
+++ b/crates/policy/src/escrow/reclaim.rs
@@ -6,6 +6,7 @@
 
 use super::HolderId;
 use super::RECLAIM_WAIT;
+use super::SUCCESSION_WAIT;
 use crate::names::VmName;
 
 /// Longest time between two looks at the platform's list that still count as one observation.
@@ -31,6 +32,7 @@
 #[derive(Debug, Clone)]
 pub struct Reclaim {
     owner: HolderId,
+    wait: Duration,
     gone_since: Duration,
     looked_at: Duration,
     listed: BTreeMap<VmName, Duration>,
@@ -43,6 +45,7 @@
     pub fn new(owner: HolderId, now: Duration) -> Self {
         Self {
             owner,
+            wait: RECLAIM_WAIT,
             gone_since: now,
             looked_at: now,
             listed: BTreeMap::new(),
@@ -50,6 +53,15 @@
         }
     }
 
+    /// Starts the reclaim of the entry of an earlier life on the same virtual machine.
+    #[must_use]
+    pub fn of_earlier_life(owner: HolderId, now: Duration) -> Self {
+        Self {
+            wait: SUCCESSION_WAIT,
+            ..Self::new(owner, now)
+        }
+    }
+
     /// Returns the owner that is gone.
     #[must_use]
     pub fn owner(&self) -> &HolderId {
@@ -79,7 +91,7 @@
         self.looked_at = now;
         self.listed
             .extend(listed.iter().map(|vm| (vm.clone(), now)));
-        if now.saturating_sub(self.gone_since) < RECLAIM_WAIT {
+        if now.saturating_sub(self.gone_since) < self.wait {
             return ReclaimStep::Wait;
         }
         self.next_fences(now)
--- a/crates/policy/tests/escrow.rs
+++ b/crates/policy/tests/escrow.rs
@@ -17,6 +17,7 @@
 use mustardbay_policy::escrow::Loan;
 use mustardbay_policy::escrow::Parts;
 use mustardbay_policy::escrow::RECLAIM_WAIT;
+use mustardbay_policy::escrow::SUCCESSION_WAIT;
 use mustardbay_policy::names::VmName;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -333,3 +334,16 @@
     let (returns, _) = holder.on_ask(&lender, back, Duration::ZERO);
     assert_eq!(returns.len(), 1);
 }
+
+#[test]
+fn new_life_takes_over_after_loans_lapsed() {
+    let mut world = World::new(2, 100.0, 40.0);
+    world.kill(0);
+    world.start(0);
+    settle(&mut world, SUCCESSION_WAIT / 2);
+    assert_eq!(world.ledger.epoch, 1);
+    settle(&mut world, SUCCESSION_WAIT);
+    assert_eq!(world.ledger.epoch, 2);
+    assert_eq!(world.parts_in_use(), Parts::ALL);
+    assert_eq!(world.overshoot, 0);
+}
--- a/crates/policy/tests/escrow/world.rs
+++ b/crates/policy/tests/escrow/world.rs
@@ -318,10 +318,15 @@
     fn reclaim_one(&mut self, vm: usize, owner: &HolderId, lives: &[HolderId], gone: bool) {
         let now = self.now;
         let listed: Vec<VmName> = lives.iter().map(|life| life.vm.clone()).collect();
+        let own = self.vms[vm].holder.id().clone();
         let reclaims = &mut self.vms[vm].reclaims;
-        let reclaim = reclaims
-            .entry(owner.clone())
-            .or_insert_with(|| Reclaim::new(owner.clone(), now));
+        let reclaim = reclaims.entry(owner.clone()).or_insert_with(|| {
+            if owner.vm == own.vm {
+                Reclaim::of_earlier_life(owner.clone(), now)
+            } else {
+                Reclaim::new(owner.clone(), now)
+            }
+        });
         match reclaim.on_list(&listed, gone, now) {
             ReclaimStep::Wait => {}
             ReclaimStep::Fence(silent) => {
--- a/crates/steward/src/rates.rs
+++ b/crates/steward/src/rates.rs
@@ -165,7 +165,10 @@
         let mut outputs = Vec::new();
         let names: Vec<AccountName> = self.shares.keys().cloned().collect();
         for name in names {
-            let found = self.shares.get_mut(&name).map(|share| share.tick(now));
+            let found = self
+                .shares
+                .get_mut(&name)
+                .map(|share| share.tick(&self.fleet, now));
             outputs.extend(wrap(&name, found.unwrap_or_default()));
         }
         self.pace.within(self.urgency());
@@ -183,7 +186,7 @@
         for name in names {
             let heir = self.fleet.heir(&name);
             let found = self.shares.get_mut(&name).zip(heir);
-            let sent = found.map(|(share, heir)| share.leave(heir, now));
+            let sent = found.map(|(share, heir)| share.leave(heir, &self.fleet, now));
             outputs.extend(wrap(&name, sent.unwrap_or_default()));
         }
         outputs
--- a/crates/steward/src/rates/fleet.rs
+++ b/crates/steward/src/rates/fleet.rs
@@ -66,6 +66,11 @@
         *owner == self.id || self.lives.get(&owner.vm) == Some(&owner.incarnation)
     }
 
+    /// Tells whether this is a later life on the owner's virtual machine.
+    pub(super) fn succeeds(&self, owner: &HolderId) -> bool {
+        owner.vm == self.id.vm && owner.incarnation < self.id.incarnation
+    }
+
     /// Tells whether another life is not heard, whatever the platform's last list said.
     pub(super) fn misses(&self, owner: &HolderId) -> bool {
         !self.hears(owner)
@@ -73,8 +78,8 @@
 
     /// Tells whether a life is neither listed nor heard, or was followed by another.
     pub(super) fn is_gone(&self, owner: &HolderId) -> bool {
-        if *owner == self.id {
-            return false;
+        if *owner == self.id || self.succeeds(owner) {
+            return *owner != self.id;
         }
         match self.lives.get(&owner.vm) {
             Some(incarnation) => *incarnation > owner.incarnation,
--- a/crates/steward/src/rates/share.rs
+++ b/crates/steward/src/rates/share.rs
@@ -26,6 +26,12 @@
 use super::LinkId;
 use super::fleet::Fleet;
 
+/// Time after its start in which a share waits for links to its peers.
+const START_TIME: Duration = Duration::from_secs(5);
+/// Longest wait of a draw in that time.
+const START_PATIENCE: Duration = Duration::from_millis(300);
+/// Time after which a further round of questions may help a share that holds too little itself.
+const ROUND_RETRY: Duration = Duration::from_millis(50);
 /// Shortest time that a refused program is told to wait.
 const SHORTEST_RETRY: Duration = Duration::from_millis(1);
 /// Longest time that a refused program is told to wait.
@@ -53,6 +59,7 @@
     link: LinkId,
     request: u64,
     wanted: u64,
+    until: Duration,
 }
 
 /// Share of one account and what is under way about it.
@@ -64,6 +71,7 @@
     ledger: Option<(u64, Ledger)>,
     reclaims: BTreeMap<HolderId, Reclaim>,
     deed: Option<Deed>,
+    started: Duration,
     refused: u64,
 }
 
@@ -76,6 +84,7 @@
             ledger: None,
             reclaims: BTreeMap::new(),
             deed: None,
+            started: now,
             refused: 0,
         }
     }
@@ -96,13 +105,14 @@
             link,
             request: draw.request,
             wanted: draw.wanted,
+            until: self.patience(now),
         };
         let drawn = self.holder.draw(link.0, draw.wanted, draw.spent, now);
         if draw.wanted == 0 || matches!(drawn, Draw::Granted(_)) {
             return vec![self.answer(pending, drawn, now)];
         }
         let mut outputs = self.ask(draw.wanted, fleet, now);
-        if self.borrowing.is_waiting(now) {
+        if self.borrowing.is_waiting(now) || now < pending.until {
             self.pending.push_back(pending);
         } else {
             outputs.push(self.answer(pending, drawn, now));
@@ -146,7 +156,8 @@
                 Vec::new()
             }
             Message::Fence(owner) => {
-                let keep = self.holder.on_fence(&owner, now) || fleet.hears(&owner);
+                let held = self.holder.on_fence(&owner, now);
+                let keep = held || (owner.vm != *from && fleet.hears(&owner));
                 reply(Message::Fenced { owner, keep })
             }
             Message::Fenced { owner, keep } => {
@@ -159,9 +170,12 @@
     }
 
     /// Brings the share up to date, refuses draws whose peers are silent, repeats a deed.
-    pub(super) fn tick(&mut self, now: Duration) -> Vec<ShareOutput> {
+    pub(super) fn tick(&mut self, fleet: &Fleet, now: Duration) -> Vec<ShareOutput> {
         self.holder.advance(now);
         let mut outputs = self.serve_pending(now);
+        if let Some(pending) = self.pending.front() {
+            outputs.extend(self.ask(pending.wanted, fleet, now));
+        }
         if let Some(deed) = &self.deed {
             let to = deed.heir.vm.clone();
             outputs.push(ShareOutput::Peer(to, Message::Deed(deed.clone())));
@@ -170,11 +184,16 @@
     }
 
     /// Gives up every owned part.
-    pub(super) fn leave(&mut self, heir: HolderId, now: Duration) -> Vec<ShareOutput> {
+    pub(super) fn leave(
+        &mut self,
+        heir: HolderId,
+        fleet: &Fleet,
+        now: Duration,
+    ) -> Vec<ShareOutput> {
         if let Some(deed) = self.holder.leave(heir, now) {
             self.deed = Some(deed);
         }
-        self.tick(now)
+        self.tick(fleet, now)
     }
 
     pub(super) fn dump(&self) -> Value {
@@ -187,6 +206,15 @@
         })
     }
 
+    /// Returns until when a draw waits even if no peer can be asked yet.
+    fn patience(&self, now: Duration) -> Duration {
+        if self.holder.epoch() == 0 && now < self.started + START_TIME {
+            now + START_PATIENCE
+        } else {
+            now
+        }
+    }
+
     fn ask(&mut self, wanted: u64, fleet: &Fleet, now: Duration) -> Vec<ShareOutput> {
         let chosen = self.borrowing.start_round(&fleet.peers(), now);
         let asks = self.holder.ask(&chosen, wanted, now);
@@ -208,7 +236,7 @@
         while let Some(pending) = self.pending.front().copied() {
             let drawn = self.holder.redraw(pending.link.0, pending.wanted, now);
             let granted = matches!(drawn, Draw::Granted(_));
-            if !granted && self.borrowing.is_waiting(now) {
+            if !granted && (self.borrowing.is_waiting(now) || now < pending.until) {
                 break;
             }
             self.pending.pop_front();
@@ -237,7 +265,7 @@
 
     fn retry_after(&self, own: Option<Duration>, now: Duration) -> Duration {
         let pause = self.borrowing.paused_until().saturating_sub(now);
-        let next = own.unwrap_or(LONGEST_RETRY).min(LONGEST_RETRY);
+        let next = own.unwrap_or(ROUND_RETRY).min(LONGEST_RETRY);
         next.max(pause.min(next)).max(SHORTEST_RETRY)
     }
 }
--- a/crates/steward/src/rates/share/ownership.rs
+++ b/crates/steward/src/rates/share/ownership.rs
@@ -53,6 +53,9 @@
         if self.holder.is_frozen() || !self.holder.unregistered().is_empty() {
             return Some(SOON);
         }
+        if ledger.entries.iter().any(|e| fleet.succeeds(&e.owner)) {
+            return Some(SOON);
+        }
         let missed = |owner: &HolderId| fleet.misses(owner) && is_mine(account, owner, fleet);
         let mut entries = ledger.entries.iter();
         entries.any(|e| missed(&e.owner)).then_some(WATCHFUL)
@@ -115,7 +118,7 @@
         let reclaim = self
             .reclaims
             .entry(owner.clone())
-            .or_insert_with(|| Reclaim::new(owner.clone(), now));
+            .or_insert_with(|| start_reclaim(owner, fleet, now));
         let step = reclaim.on_list(&fleet.listed(), gone, now);
         if !matches!(step, ReclaimStep::Fence(_)) {
             return step;
@@ -127,8 +130,16 @@
     }
 }
 
+fn start_reclaim(owner: &HolderId, fleet: &Fleet, now: Duration) -> Reclaim {
+    if fleet.succeeds(owner) {
+        Reclaim::of_earlier_life(owner.clone(), now)
+    } else {
+        Reclaim::new(owner.clone(), now)
+    }
+}
+
 fn is_mine(account: &AccountName, owner: &HolderId, fleet: &Fleet) -> bool {
-    fleet.is_responsible(&format!("{account}/{owner}"))
+    fleet.succeeds(owner) || fleet.is_responsible(&format!("{account}/{owner}"))
 }
 
 fn create(account: &AccountName, fleet: &Fleet) -> Option<ShareOutput> {
--- a/crates/steward/tests/rates.rs
+++ b/crates/steward/tests/rates.rs
@@ -274,9 +274,22 @@
     let mut stewards = Stewards::start(3);
     stewards.run(Duration::from_secs(3));
     stewards.add("vm1", 2);
-    stewards.run(Duration::from_secs(25));
+    stewards.run(Duration::from_secs(8));
     let old = HolderId::new("vm1", 1);
     assert!(!stewards.ledger().lists(&old));
+    assert!(stewards.ledger().lists(&HolderId::new("vm1", 2)));
+}
+
+#[test]
+fn restart_of_all_serves_again() {
+    let mut stewards = Stewards::start(3);
+    stewards.run(Duration::from_secs(3));
+    for vm in ["vm0", "vm1", "vm2"] {
+        stewards.add(vm, 2);
+        stewards.run(Duration::from_millis(500));
+    }
+    stewards.run(Duration::from_secs(8));
+    assert!(stewards.draw("vm0", 1, 0) > 0);
 }
 
 #[test]
