Know an account's share before its first draw

Cause: a local program gets the view at once, the rate shares only at their next tick, so a first draw within 100 ms found no share and was refused for a second (keys::withdrawn_stays_withdrawn_after_restart_in_outage, seen with retry_after_ms=999). Change: a draw of an unknown account takes over the newest view first. Test: that test passed once after it, with flood_on_every_entry beside it.

--- a/crates/steward/src/rate_desk.rs
+++ b/crates/steward/src/rate_desk.rs
@@ -97,7 +97,12 @@
             reply,
         } = msg;
         self.links.entry(link).or_insert(reply);
-        let outputs = self.rates.on_draw(link, request, Instant::now());
+        let now = Instant::now();
+        if !self.rates.knows(&request.account) {
+            let outputs = self.rates.on_view(&self.board.view(), now);
+            self.carry_out(outputs, ctx.actor_ref());
+        }
+        let outputs = self.rates.on_draw(link, request, now);
         self.carry_out(outputs, ctx.actor_ref());
     }
 }
--- a/crates/steward/src/rates.rs
+++ b/crates/steward/src/rates.rs
@@ -98,6 +98,12 @@
         Vec::new()
     }
 
+    /// Tells whether a view has named the account.
+    #[must_use]
+    pub fn knows(&self, account: &str) -> bool {
+        self.shares.contains_key(&AccountName::from(account))
+    }
+
     /// Answers a draw of tokens, at once or when peers have been asked.
     pub fn on_draw(&mut self, link: LinkId, draw: DrawTokens, now: Instant) -> Vec<RatesOutput> {
         let now = self.time(now);
