Choose monitors once for each change of the view

Every tick chose the monitors of every group anew by sorting all virtual machines; now the choice is made when bundle or members change, in one pass over the virtual machines for each group, and only groups on duty get ticks.

--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -17,6 +17,7 @@
 pub use bounds::Bounds;
 pub use duty::Duty;
 pub use duty::MAX_MONITORS;
+pub use duty::Roster;
 pub use event::Command;
 pub use event::Event;
 pub use event::Role;
--- a/crates/policy/src/group/duty.rs
+++ b/crates/policy/src/group/duty.rs
@@ -4,9 +4,8 @@
 use std::collections::BTreeSet;
 
 use serde::Serialize;
-use sha2::Digest;
-use sha2::Sha256;
 
+use crate::member::hash64;
 use crate::names::DomainName;
 use crate::names::GroupName;
 use crate::names::VmName;
@@ -26,47 +25,90 @@
     pub others: Vec<VmName>,
 }
 
-impl Duty {
+/// Stewards that may monitor groups, prepared for many choices.
+#[derive(Debug, Default)]
+pub struct Roster {
+    vms: Vec<Candidate>,
+    domains: usize,
+}
+
+#[derive(Debug)]
+struct Candidate {
+    vm: VmName,
+    hash: u64,
+    domain: usize,
+}
+
+impl Roster {
+    /// Prepares the choice among virtual machines; leaving ones are not chosen.
+    #[must_use]
+    pub fn new(vms: &BTreeMap<VmName, VmState>) -> Self {
+        let staying = vms.iter().filter(|(_, state)| !state.leaving);
+        let names: BTreeSet<&DomainName> = staying.clone().map(|(_, vm)| &vm.domain).collect();
+        let indexes: BTreeMap<&DomainName, usize> = names.into_iter().zip(0..).collect();
+        let candidates = staying.map(|(vm, state)| Candidate {
+            vm: vm.clone(),
+            hash: hash64(&[vm.as_str().as_bytes()]),
+            domain: indexes[&state.domain],
+        });
+        Self {
+            vms: candidates.collect(),
+            domains: indexes.len(),
+        }
+    }
+
     /// Returns the duty of `me` for a group, or `None` if others monitor it.
     ///
     /// Monitors are chosen by rendezvous hashing, at most one for each failure domain unless there
-    /// are too few domains; leaving virtual machines are not chosen.
+    /// are too few domains.
     #[must_use]
-    pub fn of(me: &VmName, group: &GroupName, vms: &BTreeMap<VmName, VmState>) -> Option<Self> {
-        let monitors = monitors(group, vms);
-        let rank = monitors.iter().position(|vm| vm == me)?;
-        let others = monitors.into_iter().filter(|vm| vm != me);
-        Some(Self {
+    pub fn duty(&self, me: &VmName, group: &GroupName) -> Option<Duty> {
+        let monitors = self.monitors(group);
+        let rank = monitors.iter().position(|vm| *vm == me)?;
+        let others = monitors.into_iter().filter(|vm| *vm != me);
+        Some(Duty {
             rank: u32::try_from(rank).unwrap_or(u32::MAX),
-            others: others.collect(),
+            others: others.cloned().collect(),
         })
     }
-}
 
-fn monitors(group: &GroupName, vms: &BTreeMap<VmName, VmState>) -> Vec<VmName> {
-    let mut ranked: Vec<(&VmName, &DomainName)> = vms
-        .iter()
-        .filter(|(_, state)| !state.leaving)
-        .map(|(vm, state)| (vm, &state.domain))
-        .collect();
-    ranked.sort_by_cached_key(|(vm, _)| score(group, vm));
-    let mut domains = BTreeSet::new();
-    let (firsts, rest): (Vec<_>, Vec<_>) = ranked
-        .into_iter()
-        .partition(|(_, domain)| domains.insert((*domain).clone()));
-    let spare = MIN_MONITORS.saturating_sub(firsts.len());
-    let firsts = firsts.into_iter().take(MAX_MONITORS);
-    firsts
-        .chain(rest.into_iter().take(spare))
-        .map(|(vm, _)| vm.clone())
-        .collect()
-}
+    fn monitors(&self, group: &GroupName) -> Vec<&VmName> {
+        let seed = hash64(&[group.as_str().as_bytes()]);
+        let mut firsts: Vec<Option<(u64, usize)>> = vec![None; self.domains];
+        for (index, candidate) in self.vms.iter().enumerate() {
+            let score = mix(candidate.hash ^ seed);
+            let first = &mut firsts[candidate.domain];
+            if first.is_none_or(|(best, _)| score > best) {
+                *first = Some((score, index));
+            }
+        }
+        let mut chosen: Vec<(u64, usize)> = firsts.into_iter().flatten().collect();
+        chosen.sort_unstable_by(|a, b| b.cmp(a));
+        chosen.truncate(MAX_MONITORS);
+        if chosen.len() < MIN_MONITORS {
+            self.fill_up(seed, &mut chosen);
+        }
+        let chosen = chosen.into_iter().map(|(_, index)| &self.vms[index].vm);
+        chosen.collect()
+    }
 
-fn score(group: &GroupName, vm: &VmName) -> [u8; 32] {
-    let mut hash = Sha256::new();
-    for part in [group.as_str(), vm.as_str()] {
-        hash.update(part.as_bytes());
-        hash.update([0]);
+    /// Adds the best of those that are not chosen yet, whatever their failure domain.
+    fn fill_up(&self, seed: u64, chosen: &mut Vec<(u64, usize)>) {
+        let mut rest: Vec<(u64, usize)> = self
+            .vms
+            .iter()
+            .enumerate()
+            .map(|(index, candidate)| (mix(candidate.hash ^ seed), index))
+            .filter(|entry| !chosen.contains(entry))
+            .collect();
+        rest.sort_unstable_by(|a, b| b.cmp(a));
+        chosen.extend(rest.into_iter().take(MIN_MONITORS - chosen.len()));
     }
-    hash.finalize().into()
+}
+
+/// Spreads a number over all bits, by the finalizer of `SplitMix64`.
+fn mix(number: u64) -> u64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
 }
--- a/crates/policy/src/member/members.rs
+++ b/crates/policy/src/member/members.rs
@@ -242,6 +242,13 @@
         fan_out(&self.itself.vm, &self.itself.state.domain, domains)
     }
 
+    /// Tells whether no other steward is known to be alive.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        let mut others = self.others.values();
+        !others.any(|member| member.news.status == Status::Alive)
+    }
+
     /// Returns everyone who may be contacted: known or listed, live or not.
     #[must_use]
     pub fn contacts(&self) -> Vec<VmName> {
--- a/crates/steward/src/groups.rs
+++ b/crates/steward/src/groups.rs
@@ -16,14 +16,15 @@
 use kameo::message::Message;
 use mustardbay_policy::group::Bounds;
 use mustardbay_policy::group::Command;
-use mustardbay_policy::group::Duty;
 use mustardbay_policy::group::Event;
 use mustardbay_policy::group::Monitor;
 use mustardbay_policy::group::Proposer;
 use mustardbay_policy::group::Recorded;
+use mustardbay_policy::group::Roster;
 use mustardbay_policy::names::GroupName;
 use mustardbay_policy::names::VmName;
 use mustardbay_policy::position::Term;
+use mustardbay_policy::view::View;
 use mustardbay_wire::AskOpinion;
 use mustardbay_wire::peer_message::Body;
 
@@ -51,6 +52,9 @@
     history: History,
     stats: Arc<Stats>,
     monitors: BTreeMap<GroupName, Monitor>,
+    /// View that the monitors were last aligned with.
+    aligned: Arc<View>,
+    on_duty: Vec<GroupName>,
     itself: ActorRef<Self>,
 }
 
@@ -73,6 +77,8 @@
         Ok(Self {
             me: args.me,
             start: Instant::now(),
+            aligned: args.board.view(),
+            on_duty: Vec::new(),
             board: args.board,
             effects: args.effects,
             records: args.records,
@@ -92,14 +98,25 @@
 
     /// Aligns the monitors with the bundle and the live virtual machines.
     fn align(&mut self) {
-        let now = self.now();
         let view = self.board.view();
+        let unchanged =
+            Arc::ptr_eq(&view.bundle, &self.aligned.bundle) && view.vms == self.aligned.vms;
+        if unchanged {
+            return;
+        }
+        self.aligned = Arc::clone(&view);
+        self.on_duty.clear();
+        let now = self.now();
+        let roster = Roster::new(&view.vms);
         let bounds = Bounds::from(&view.bundle.limits);
         let configured: BTreeSet<&GroupName> = view.bundle.groups.iter().map(|g| &g.name).collect();
         self.monitors.retain(|name, _| configured.contains(name));
         for group in &view.bundle.groups {
             let name = &group.name;
-            let duty = Duty::of(&self.me.vm, name, &view.vms);
+            let duty = roster.duty(&self.me.vm, name);
+            if duty.is_some() {
+                self.on_duty.push(name.clone());
+            }
             if let Some(monitor) = self.monitors.get_mut(name) {
                 monitor.configure(group.clone(), bounds);
                 monitor.assign(duty, now);
@@ -277,8 +294,7 @@
 
     async fn handle(&mut self, _msg: Tick, _ctx: &mut Context<Self, ()>) {
         self.align();
-        let names: Vec<_> = self.monitors.keys().cloned().collect();
-        for name in names {
+        for name in self.on_duty.clone() {
             self.handle_event(&name, Event::Tick);
         }
     }
--- a/crates/steward/src/peers.rs
+++ b/crates/steward/src/peers.rs
@@ -209,7 +209,7 @@
             self.spread(&news, &[], None);
             self.post();
         }
-        if self.members.fan_out().is_empty() {
+        if self.members.is_alone() {
             self.seek_company(now);
         } else if now >= self.next_beat {
             self.next_beat = now + self.members.pace().heartbeat;
