Refuse sessions that have seen a newer term than the pool

Cause: the pool checked a session's floor on replicas only. Ruled out: an old token at the client; the entry's choice alone, since another entry may be as stale. Change: a batch whose floor is of a newer term than the pool's is refused before it runs.

--- a/crates/lab/tests/e2e/failover.rs
+++ b/crates/lab/tests/e2e/failover.rs
@@ -113,16 +113,13 @@
     fleet.stop().await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn primary_cut_off_with_entries() {
-    let south = DomainName::from("south");
+/// Starts a fleet whose `ledger` has its primary alone in `south`, with vm2.
+async fn start_with_primary_in_south(south: &DomainName) -> Fleet {
     let mut layout = demo().with_relays();
-    let ledger = layout
-        .bundle
-        .groups
-        .iter_mut()
-        .find(|group| group.name.as_str() == "ledger");
-    for (n, upstream) in ledger.expect("a group").upstreams.iter_mut().enumerate() {
+    let groups = layout.bundle.groups.iter_mut();
+    let mut ledgers = groups.filter(|group| group.name.as_str() == "ledger");
+    let ledger = ledgers.next().expect("a group");
+    for (n, upstream) in ledger.upstreams.iter_mut().enumerate() {
         upstream.domain = if n == 0 {
             south.clone()
         } else {
@@ -131,6 +128,49 @@
     }
     let fleet = Fleet::start(layout).await.expect("fleet starts");
     set_up_table(&fleet).await;
+    fleet
+}
+
+/// A session that wrote through the new primary moves to an entry beside the old one.
+#[tokio::test(flavor = "multi_thread")]
+async fn token_carried_to_cut_off_primary() {
+    let south = DomainName::from("south");
+    let fleet = start_with_primary_in_south(&south).await;
+    let outside = fleet
+        .caller("vm1", "alice", "ledger")
+        .await
+        .expect("caller connects");
+    let idle = fleet
+        .caller("vm2", "alice", "ledger")
+        .await
+        .expect("caller connects");
+    count(&idle).await;
+    fleet.isolate(&south).await.expect("south is cut off");
+    let mut acknowledged = Vec::new();
+    write_through(&outside, 0, &mut acknowledged).await;
+    let token = session_token(&outside).await;
+    let inside = fleet
+        .caller_with("vm2", "alice", "ledger", Some(&token))
+        .await;
+    let inside = inside.expect("caller connects");
+    let refused = inside.query("SELECT id FROM entries", &[]).await;
+    let refused = refused.expect_err("nobody in south has the session's writes");
+    let (code, detail) = refusal(&refused);
+    let routed = ["57P03", "40003"].contains(&code.as_str());
+    assert!(routed, "refused with {code}, {detail}");
+    fleet.heal(&south).await.expect("south is healed");
+    let rows = eventually("a read after healing", async || {
+        inside.query("SELECT id FROM entries", &[]).await.ok()
+    })
+    .await;
+    assert!(rows.len() >= acknowledged.len(), "{} rows seen", rows.len());
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn primary_cut_off_with_entries() {
+    let south = DomainName::from("south");
+    let fleet = start_with_primary_in_south(&south).await;
     let inside = fleet
         .caller("vm2", "alice", "ledger")
         .await
--- a/crates/pool/src/request/serve.rs
+++ b/crates/pool/src/request/serve.rs
@@ -188,8 +188,13 @@
     })
 }
 
-/// Checks that the upstream may serve the batch: the primary for writes, fresh enough for reads.
+/// Checks that the upstream may serve the batch: the primary for writes, fresh enough for reads,
+/// and never of a term before that of the session's floor.
 async fn check_fresh(place: &Place, batch: &Batch) -> Result<(), Refusal> {
+    if batch.floor.is_some_and(|floor| floor.term > batch.term) {
+        // An upstream of an older term may lack the session's writes, the primary included.
+        return Err(stale("the session has seen a newer term than this pool"));
+    }
     if place.primary {
         return Ok(());
     }
