--- /dev/null
+++ b/crates/steward/src/peers/receive.rs
@@ -0,0 +1,185 @@
+//! What becomes of the messages of other stewards.
+
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::Message;
+use mustardbay_policy::names::GroupName;
+use mustardbay_policy::names::VmName;
+use mustardbay_policy::position::Term;
+use mustardbay_wire::Digests;
+use mustardbay_wire::GroupNews;
+use mustardbay_wire::Heartbeat;
+use mustardbay_wire::PeerMessage;
+use mustardbay_wire::PullHead;
+use mustardbay_wire::VmNews;
+use mustardbay_wire::peer_message::Body;
+
+use crate::bundles;
+use crate::groups;
+use crate::peers::Peers;
+use crate::peers::convert;
+use crate::peers::log_news;
+use crate::rate_desk;
+
+/// Entries of one [`News`](mustardbay_wire::News) message.
+const NEWS_ENTRIES: usize = 200;
+
+impl Peers {
+    fn hear(&mut self, from: Option<&VmName>, vms: impl IntoIterator<Item = VmNews>) {
+        let now = self.now();
+        let mut spread = Vec::new();
+        for news in vms.into_iter().filter_map(convert::from_wire) {
+            spread.extend(self.members.hear(news, now));
+        }
+        if !spread.is_empty() {
+            log_news(&spread);
+            self.spread(&spread, &[], from);
+            self.post();
+        }
+    }
+
+    async fn hear_groups(&self, groups: Vec<GroupNews>) {
+        for news in groups {
+            match serde_json::from_slice(&news.recorded) {
+                Ok(recorded) => {
+                    let group = GroupName::from(news.group);
+                    tell(&self.targets.groups, groups::Heard { group, recorded }).await;
+                }
+                Err(e) => tracing::warn!(event = "group_news_rejected", error = %e),
+            }
+        }
+    }
+
+    pub(super) async fn receive(&mut self, message: PeerMessage) {
+        let from = VmName::from(message.from);
+        match message.body {
+            Some(Body::Hello(news)) => self.hear(Some(&from), [news]),
+            Some(Body::Heartbeat(heartbeat)) => self.receive_heartbeat(&from, heartbeat).await,
+            Some(Body::Digests(digests)) => self.answer_digests(&from, &digests),
+            Some(Body::News(news)) => {
+                self.hear(Some(&from), news.vms);
+                self.hear_groups(news.groups).await;
+            }
+            Some(Body::PullHead(_)) => {
+                tell(&self.targets.bundles, bundles::PullHead { vm: from }).await;
+            }
+            Some(Body::Head(json)) => {
+                let head = bundles::PeerHead { vm: from, json };
+                tell(&self.targets.bundles, head).await;
+            }
+            Some(Body::PullChunks(pull)) => {
+                let hashes = pull.hashes;
+                tell(
+                    &self.targets.bundles,
+                    bundles::PullChunks { vm: from, hashes },
+                )
+                .await;
+            }
+            Some(Body::Chunks(chunks)) => {
+                tell(&self.targets.bundles, bundles::Fetched(chunks.chunks)).await;
+            }
+            Some(Body::Ask(ask)) => {
+                let group = GroupName::from(ask.group);
+                let term = Term(ask.term);
+                tell(
+                    &self.targets.groups,
+                    groups::Asked {
+                        vm: from,
+                        group,
+                        term,
+                    },
+                )
+                .await;
+            }
+            Some(Body::Opinion(opinion)) => {
+                let opinion = groups::Opinion {
+                    vm: from,
+                    group: GroupName::from(opinion.group),
+                    term: Term(opinion.term),
+                    silent: opinion.silent,
+                };
+                tell(&self.targets.groups, opinion).await;
+            }
+            Some(Body::Rates(body)) => {
+                tell(&self.targets.desk, rate_desk::FromPeer { vm: from, body }).await;
+            }
+            None => {}
+        }
+    }
+
+    async fn receive_heartbeat(&mut self, from: &VmName, heartbeat: Heartbeat) {
+        let now = self.now();
+        self.members.heartbeat(from, heartbeat.regular, now);
+        self.hear(Some(from), heartbeat.vms);
+        self.hear_groups(heartbeat.groups).await;
+        let pace = self.members.pace().heartbeat;
+        let version = self.targets.board.version().0;
+        if heartbeat.bundle_version > version && now >= self.pulled_at + pace / 2 {
+            self.pulled_at = now;
+            self.send(from, Body::PullHead(PullHead { version }));
+        }
+        let vms_differ = heartbeat.vms_digest != self.members.digest().total();
+        let groups_differ = heartbeat.groups_digest != self.targets.records.digest().total();
+        if vms_differ || groups_differ {
+            self.compare(from, vms_differ, groups_differ);
+        }
+    }
+
+    /// Asks another steward for what differs, at most once in a heartbeat's time.
+    fn compare(&mut self, vm: &VmName, vms: bool, groups: bool) {
+        let now = self.now();
+        let pace = self.members.pace().heartbeat;
+        let last = self.compared.get(vm).copied();
+        if last.is_some_and(|last| now < last + pace) {
+            return;
+        }
+        self.compared.insert(vm.clone(), now);
+        let mut digests = Digests::default();
+        if vms {
+            digests.vms = self.members.digest().buckets().to_vec();
+        }
+        if groups {
+            digests.groups = self.targets.records.digest().buckets().to_vec();
+        }
+        self.send(vm, Body::Digests(digests));
+    }
+
+    fn answer_digests(&mut self, from: &VmName, digests: &Digests) {
+        let vms = if digests.vms.is_empty() {
+            Vec::new()
+        } else {
+            self.members.differing(&digests.vms)
+        };
+        let groups = if digests.groups.is_empty() {
+            Vec::new()
+        } else {
+            self.targets.records.differing(&digests.groups)
+        };
+        for part in vms.chunks(NEWS_ENTRIES) {
+            let news = mustardbay_wire::News {
+                vms: part.iter().map(convert::to_wire).collect(),
+                groups: Vec::new(),
+            };
+            self.send(from, Body::News(news));
+        }
+        for part in groups.chunks(NEWS_ENTRIES) {
+            let news = mustardbay_wire::News {
+                vms: Vec::new(),
+                groups: part.to_vec(),
+            };
+            self.send(from, Body::News(news));
+        }
+        self.compare(from, !digests.vms.is_empty(), !digests.groups.is_empty());
+    }
+}
+
+/// Sends a message to an actor that may have stopped.
+async fn tell<A, M>(actor: &ActorRef<A>, message: M)
+where
+    A: Actor + Message<M>,
+    M: std::marker::Send + 'static,
+{
+    if actor.tell(message).await.is_err() {
+        tracing::debug!(event = "actor_gone", actor = <A as Actor>::name());
+    }
+}
