Forget a session's token when its connection does not end in time

Change: a lost token is forgotten rather than replaced by an older one, and moves are logged with the token. Errors of the server are shown with their message.

--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -24,7 +24,7 @@
     #[error("database of the stand-in failed: {0}")]
     Database(String),
     /// A PostgreSQL connection failed, or an upstream answered with an error.
-    #[error("upstream failed: {0}")]
+    #[error("upstream failed: {}", explain(.0))]
     Postgres(#[from] tokio_postgres::Error),
     /// A file cannot be read or written.
     #[error("file: {0}")]
@@ -53,3 +53,11 @@
         }
     }
 }
+
+/// Returns the server's own message where there is one.
+fn explain(error: &tokio_postgres::Error) -> String {
+    match error.as_db_error() {
+        Some(answer) => answer.to_string(),
+        None => error.to_string(),
+    }
+}
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -28,6 +28,7 @@
 pub use self::arrival::schedule;
 pub use self::connection::Connection;
 pub use self::connection::Credentials;
+pub use self::connection::TokenLost;
 pub use self::generator::Load;
 pub use self::generator::Offer;
 pub use self::generator::Plan;
@@ -133,7 +134,9 @@
         for statement in SCHEMA {
             connection.run(statement).await?;
         }
-        connection.close().await;
+        if let Err(e) = connection.close().await {
+            tracing::debug!(event = "close_failed", error = %e);
+        }
     }
     Ok(())
 }
--- a/crates/lab/src/load/connection.rs
+++ b/crates/lab/src/load/connection.rs
@@ -5,6 +5,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use thiserror::Error;
 use tokio::task::JoinHandle;
 use tokio_postgres::Client;
 use tokio_postgres::Config;
@@ -20,6 +21,11 @@
 /// Parameter that carries the session's token.
 const TOKEN: &str = "mustardbay.session";
 
+/// A connection did not end in time, so that the session's last token is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the connection did not end in time")]
+pub struct TokenLost;
+
 /// Who connects, and to which database.
 #[derive(Debug, Clone)]
 pub struct Credentials {
@@ -90,14 +96,18 @@
         Ok(rows.next().map(str::to_owned))
     }
 
-    /// Closes the connection and returns the token that the entry gave last.
-    pub async fn close(self) -> Option<String> {
+    /// Closes the connection and returns the token that the entry gave last, if it gave one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does not end in time, so that its last token is not known.
+    pub async fn close(self) -> Result<Option<String>, TokenLost> {
         drop(self.client);
         let abort = self.driver.abort_handle();
         if let Ok(Ok(token)) = tokio::time::timeout(CLOSE_TIMEOUT, self.driver).await {
-            return token;
+            return Ok(token);
         }
         abort.abort();
-        None
+        Err(TokenLost)
     }
 }
--- a/crates/lab/src/load/session.rs
+++ b/crates/lab/src/load/session.rs
@@ -119,8 +119,10 @@
 
     /// Ends the session.
     pub async fn close(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            connection.close().await;
+        if let Some(connection) = self.connection.take()
+            && let Err(e) = connection.close().await
+        {
+            tracing::debug!(event = "close_failed", session = self.number, error = %e);
         }
     }
 
@@ -199,11 +201,23 @@
 
     /// Leaves the entry for the next one.
     async fn move_on(&mut self) {
-        if let Some(connection) = self.connection.take()
-            && let Some(token) = connection.close().await
-        {
-            self.token = Some(token);
+        if let Some(connection) = self.connection.take() {
+            match connection.close().await {
+                Ok(Some(token)) => self.token = Some(token),
+                Ok(None) => {}
+                // An older token would claim too low a floor.
+                Err(e) => {
+                    tracing::info!(event = "token_lost", session = self.number, error = %e);
+                    self.token = None;
+                }
+            }
         }
+        tracing::debug!(
+            event = "moved",
+            session = self.number,
+            seq = self.seq,
+            token = self.token
+        );
         if !self.habits.keeps_token {
             self.token = None;
         }
