--- a/crates/lab/src/hop.rs
+++ b/crates/lab/src/hop.rs
@@ -14,32 +14,44 @@
 use tokio_postgres::NoTls;
 
 use crate::error::LabError;
+use crate::fleet;
+use crate::fleet::Fleet;
 use crate::load::Latency;
+use crate::measure::MeasureError;
 
 /// Rounds of each kind, which alternate so that both see the same machine.
 const ROUNDS: u32 = 4;
 
+/// Rate, in statements per second, that no measurement reaches.
+const UNBOUND_RATE: f64 = 1_000_000.0;
+
+/// Slots that no measurement fills.
+const UNBOUND_SLOTS: u32 = 64;
+
+/// Connections that both ways fit in.
+const UNBOUND_CONNECTIONS: u32 = 400;
+
 /// Arguments of `mustardbay-lab hop`.
 #[derive(Debug, Clone, Args)]
 pub struct HopArgs {
-    /// Entry to go through.
-    #[arg(long, value_name = "IP:PORT")]
-    entry: SocketAddr,
+    /// Entry to go through; without it a fleet is started for the measurement.
+    #[arg(long, value_name = "IP:PORT", requires_all = ["direct", "account", "key", "route"])]
+    entry: Option<SocketAddr>,
     /// Upstream to connect to directly.
     #[arg(long, value_name = "IP:PORT")]
-    direct: SocketAddr,
+    direct: Option<SocketAddr>,
     /// Term that the upstream is at.
     #[arg(long, default_value_t = 1)]
     term: u64,
     /// Account to run as.
     #[arg(long)]
-    account: String,
+    account: Option<String>,
     /// Key of the account.
     #[arg(long, env = "MUSTARDBAY_KEY", hide_env_values = true)]
-    key: String,
+    key: Option<String>,
     /// Route to take.
     #[arg(long)]
-    route: String,
+    route: Option<String>,
     /// Statement to run.
     #[arg(long, default_value = "SELECT 1")]
     statement: String,
@@ -100,7 +112,10 @@
 ///
 /// Fails if a connection or a statement fails.
 pub async fn run(args: HopArgs) -> Result<(), LabError> {
-    let hop = measure(&args).await?;
+    let hop = match ways(&args) {
+        Some(ways) => measure(&args, &ways).await?,
+        None => measure_fleet(&args).await?,
+    };
     print!("{hop}");
     if let Some(path) = &args.json {
         let text = serde_json::to_string_pretty(&hop).map_err(std::io::Error::other)?;
@@ -109,15 +124,65 @@
     Ok(())
 }
 
-async fn measure(args: &HopArgs) -> Result<Hop, LabError> {
+/// Where both ways lead.
+#[derive(Debug)]
+struct Ways {
+    entry: tokio_postgres::Config,
+    direct: tokio_postgres::Config,
+}
+
+/// Returns the ways that the arguments name, if they do.
+fn ways(args: &HopArgs) -> Option<Ways> {
+    let mut entry = tokio_postgres::Config::new();
+    let address = args.entry?;
+    entry.host(address.ip().to_string()).port(address.port());
+    entry.user(args.account.as_ref()?);
+    entry.password(args.key.as_ref()?);
+    entry.dbname(args.route.as_ref()?);
+    Some(Ways {
+        entry,
+        direct: directly(args.direct?, args.term),
+    })
+}
+
+/// Starts a fleet whose rates do not bind, measures it and stops it.
+async fn measure_fleet(args: &HopArgs) -> Result<Hop, MeasureError> {
+    let mut layout = fleet::demo();
+    for account in &mut layout.bundle.accounts {
+        account.rate = UNBOUND_RATE;
+        account.burst = UNBOUND_RATE;
+    }
+    for group in &mut layout.bundle.groups {
+        group.slots = UNBOUND_SLOTS;
+        group.connections = UNBOUND_CONNECTIONS;
+    }
+    let fleet = Fleet::start(layout).await?;
+    let group = fleet.bundle().groups.first();
+    let group = group.ok_or(MeasureError::TooFewGroups)?;
+    let primary = fleet.primary(group.name.as_str()).await?;
+    let state = fleet.upstream_state(primary.as_str()).await?;
+    let term = state["term"].as_u64().unwrap_or(0);
+    let mut upstreams = group.upstreams.iter();
+    let upstream = upstreams.find(|up| up.name == primary);
+    let address = upstream.and_then(|up| up.address.parse().ok());
+    let account = fleet.bundle().accounts[0].name.to_string();
+    let url = fleet.entry_url(fleet.vms()[0].as_str(), &account);
+    let ways = Ways {
+        entry: format!("{url}/{}", group.name).parse()?,
+        direct: directly(address.ok_or(MeasureError::TooFewGroups)?, term),
+    };
+    let hop = measure(args, &ways).await?;
+    fleet.stop().await;
+    Ok(hop)
+}
+
+async fn measure(args: &HopArgs, ways: &Ways) -> Result<Hop, LabError> {
     // Each round runs both ways, each once for latency and once for throughput.
     let slice = Duration::from_secs(args.seconds) / (ROUNDS * 4);
-    let entry = through_entry(args);
-    let direct = directly(args);
     let mut samples = [Vec::new(), Vec::new()];
     let mut statements = [0, 0];
     for _ in 0..ROUNDS {
-        for (at, way) in [&entry, &direct].into_iter().enumerate() {
+        for (at, way) in [&ways.entry, &ways.direct].into_iter().enumerate() {
             samples[at].extend(latencies(way, &args.statement, slice).await?);
             statements[at] += count(way, &args.statement, args.connections, slice).await?;
         }
@@ -134,21 +199,11 @@
     })
 }
 
-fn through_entry(args: &HopArgs) -> tokio_postgres::Config {
-    let mut config = tokio_postgres::Config::new();
-    config.host(args.entry.ip().to_string());
-    config.port(args.entry.port());
-    config.user(&args.account).password(&args.key);
-    config.dbname(&args.route);
-    config
-}
-
-fn directly(args: &HopArgs) -> tokio_postgres::Config {
+fn directly(address: SocketAddr, term: u64) -> tokio_postgres::Config {
     let mut config = tokio_postgres::Config::new();
-    config.host(args.direct.ip().to_string());
-    config.port(args.direct.port());
+    config.host(address.ip().to_string()).port(address.port());
     config.user("mustardbay").dbname("mustardbay");
-    config.options(format!("-c mustardbay.term={}", args.term));
+    config.options(format!("-c mustardbay.term={term}"));
     config
 }
 
