--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -18,8 +18,12 @@
 use crate::measure::MeasureArgs;
 use crate::platform;
 use crate::platform::Platform;
+use crate::rate_study;
+use crate::rate_study::RatesArgs;
 use crate::relay;
 use crate::relay::Relay;
+use crate::slopes;
+use crate::slopes::SlopesArgs;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamArgs;
 
@@ -45,8 +49,12 @@
     Compare(CompareArgs),
     /// Puts an open-loop load on entries.
     Load(LoadArgs),
+    /// Measures what one more vm, group, account, change or session costs.
+    Slopes(SlopesArgs),
     /// Runs a stand-in for the platform's key-value service.
     Platform(platform::Config),
+    /// Compares ways to hold rates across the fleet, under virtual time.
+    Rates(RatesArgs),
     /// Relays TCP links that can be cut, frozen and delayed.
     Relay(relay::Config),
 }
@@ -81,7 +89,9 @@
         Command::Hop(args) => hop::run(args).await?,
         Command::Measure(args) => return Ok(measure::run(args).await?),
         Command::Compare(args) => compare::run(&args)?,
+        Command::Slopes(args) => slopes::run(args).await?,
         Command::Load(args) => load::run(args).await?,
+        Command::Rates(args) => rate_study::run(&args),
         Command::Upstream(args) => {
             let upstream = Upstream::start(args.into()).await?;
             println!("{}", upstream.address());
