--- a/crates/lab/tests/e2e/caller.rs
+++ b/crates/lab/tests/e2e/caller.rs
@@ -24,13 +24,27 @@
     .await;
 }
 
-/// Returns the number of rows that the session sees.
+/// Returns the number of rows that the session sees; asks again while no upstream may answer.
 pub async fn count(caller: &Client) -> i64 {
-    caller
-        .query_one("SELECT count(*) FROM entries", &[])
-        .await
-        .expect("rows are counted")
-        .get(0)
+    eventually("a count", async || {
+        match caller.query_one("SELECT count(*) FROM entries", &[]).await {
+            Ok(row) => Some(row.get(0)),
+            Err(e) => {
+                assert!(
+                    is_unavailable(&e),
+                    "rows are not counted: {:?}",
+                    refusal(&e)
+                );
+                None
+            }
+        }
+    })
+    .await
+}
+
+/// Tells whether an error says that no upstream may serve the statement for the moment.
+fn is_unavailable(error: &Error) -> bool {
+    is_not_run(error) && refusal(error).0 == "57P03"
 }
 
 /// Returns the session's token.
--- a/crates/lab/tests/e2e/rates.rs
+++ b/crates/lab/tests/e2e/rates.rs
@@ -15,6 +15,10 @@
 /// How long every entry is flooded.
 const FLOOD: Duration = Duration::from_secs(3);
 
+/// Statements that one entry serves within the rate, and the pause between them.
+const STATEMENTS: u32 = 20;
+const PAUSE: Duration = Duration::from_millis(20);
+
 /// Sends statements one after the other and returns how many were served.
 async fn flood(fleet: &Fleet, vm: &str) -> u32 {
     let caller = fleet
@@ -69,3 +73,23 @@
     );
     fleet.stop().await;
 }
+
+/// Statements of an account that is far below its rate, on an entry that has not served it before.
+#[tokio::test(flavor = "multi_thread")]
+async fn within_rate_on_every_entry() {
+    let fleet = Fleet::start(demo()).await.expect("fleet starts");
+    set_up_table(&fleet).await;
+    for vm in ["vm2", "vm3", "vm1"] {
+        let caller = fleet
+            .caller(vm, "bob", "ledger")
+            .await
+            .expect("caller connects");
+        for n in 0..STATEMENTS {
+            let answer = caller.simple_query("SELECT 1").await;
+            let refused = answer.err().map(|e| refusal(&e));
+            assert_eq!(refused, None, "statement {n} on {vm}");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+    fleet.stop().await;
+}
--- a/crates/pool/src/metrics.rs
+++ b/crates/pool/src/metrics.rs
@@ -26,11 +26,20 @@
             histogram.with_description(text).build()
         };
         Self {
-            slot_wait: seconds("pool_slot_wait", "Wait for a slot and a connection"),
-            service: seconds("pool_service", "Exchange of a batch with its upstream"),
-            durable_wait: seconds("pool_durable_wait", "Wait for a replica to receive a write"),
+            slot_wait: seconds(
+                "mustardbay_pool_slot_wait",
+                "Wait for a slot and a connection",
+            ),
+            service: seconds(
+                "mustardbay_pool_service",
+                "Exchange of a batch with its upstream",
+            ),
+            durable_wait: seconds(
+                "mustardbay_pool_durable_wait",
+                "Wait for a replica to receive a write",
+            ),
             refusals: meter
-                .u64_counter("pool_refusals")
+                .u64_counter("mustardbay_pool_refusals")
                 .with_description("Refused requests")
                 .build(),
         }
