Keep a floor of an owner's rate share from being lent

Cause: a virtual machine without traffic lent all that it owned and, once cut off, refused everything. Change: an eighth of the owned rate and burst is never lent. Test: floor_is_never_lent.

--- a/crates/policy/src/escrow/holder/lending.rs
+++ b/crates/policy/src/escrow/holder/lending.rs
@@ -18,6 +18,8 @@
 
 /// Share of the account's rate that a lender counts as its own demand at least, as a divisor.
 const RESERVE_DIVISOR: u64 = 100;
+/// Part of the owned rate and burst that is never lent, as a divisor.
+const FLOOR_DIVISOR: u64 = 8;
 /// Smallest part of what is held that is worth moving for balance, as a divisor.
 const LEAST_IMBALANCE: u64 = 6;
 /// Fewest tokens that are worth a loan, in millionths.
@@ -206,7 +208,7 @@
     fn spare_burst(&self, tokens: u64, rate: Parts) -> Parts {
         let wanted = Parts::holding(tokens, self.burst).max(rate);
         let lent = self.lent.iter().map(|l| l.burst).sum();
-        let own = self.usable().minus(lent);
+        let own = self.lendable().minus(lent);
         let occupied = self.granted() + self.bucket.tokens().saturating_sub(tokens);
         let free = self
             .burst_parts()
@@ -216,7 +218,13 @@
 
     fn own_rate_left(&self) -> Parts {
         let lent = self.lent.iter().map(|l| l.rate).sum();
-        self.usable().minus(lent)
+        self.lendable().minus(lent)
+    }
+
+    /// Returns the owned parts beyond the floor that lets a domain that is cut off serve a little.
+    fn lendable(&self) -> Parts {
+        let usable = self.usable();
+        usable.minus(usable.scaled(1, FLOOR_DIVISOR))
     }
 }
 
--- a/crates/policy/tests/escrow.rs
+++ b/crates/policy/tests/escrow.rs
@@ -347,3 +347,20 @@
     assert_eq!(world.parts_in_use(), Parts::ALL);
     assert_eq!(world.overshoot, 0);
 }
+
+#[test]
+fn floor_is_never_lent() {
+    let mut world = World::new(4, 100.0, 40.0);
+    settle(&mut world, SECOND);
+    for _ in 0..40 {
+        world.advance(Duration::from_millis(50));
+        world.draw(0, 30, 30);
+        world.ask(0, 30);
+        world.deliver_all();
+    }
+    for vm in &world.vms[1..] {
+        let held = vm.holder.holding();
+        assert!(held.rate >= Parts(250_000 / 8), "{held:?}");
+        assert!(held.burst >= Parts(250_000 / 8), "{held:?}");
+    }
+}
