--- a/crates/policy/tests/escrow.rs
+++ b/crates/policy/tests/escrow.rs
@@ -364,3 +364,30 @@
         assert!(held.burst >= Parts(250_000 / 8), "{held:?}");
     }
 }
+
+#[test]
+fn loan_takes_the_lenders_tokens() {
+    let id = HolderId::new("vm0", 1);
+    let ledger = Ledger::create(std::slice::from_ref(&id), 0);
+    let mut lender = Holder::new(id, 10 * TOKEN, 100 * TOKEN, Duration::ZERO);
+    lender.on_ledger(&ledger, None, Duration::ZERO);
+    lender.draw(1, 60, 0, Duration::ZERO);
+    lender.draw(1, 0, 60, Duration::ZERO);
+    let filling = Duration::from_secs(3);
+    lender.advance(filling);
+    let before = lender.holding().tokens;
+    let ask = Ask {
+        request: 1,
+        tokens: 5 * TOKEN,
+        demand: 150,
+        held: Parts::NONE,
+    };
+    let (_, loan) = lender.on_ask(&VmName::from("vm1"), ask, filling);
+    assert!(loan.tokens > 0, "{loan:?}");
+    let after = lender.holding();
+    assert!(
+        after.burst.of(100 * TOKEN) > before,
+        "tokens are also lost for want of burst"
+    );
+    assert_eq!(after.tokens + loan.tokens, before);
+}
