Draw no token ahead for an account that is granted one at a time

An entry that was granted one token drew the next at once; it lay there for up to its validity while another vm refused, and the spent one stayed charged until the next report. Change: a single token is reported when it is spent, and the next is drawn when it is wanted.

--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -124,3 +124,13 @@
     );
     assert_eq!(purse.report(start + ms(4)), None);
 }
+
+#[test]
+fn single_token_is_reported_and_not_drawn_ahead() {
+    let start = Instant::now();
+    let mut purse = purse(1, start);
+    let (admission, order) = purse.admit(start + ms(2));
+    assert_eq!(admission, Admission::Admitted);
+    let order = order.expect("the spent token is reported");
+    assert_eq!((order.wanted, order.spent), (0, 1));
+}
