--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -4,7 +4,10 @@
 //! it, so that relays can tell them apart.
 
 mod addresses;
+mod callers;
 mod faults;
+mod inspect;
+mod launch;
 mod layout;
 mod plan;
 mod presets;
--- /dev/null
+++ b/crates/lab/src/fleet/launch.rs
@@ -0,0 +1,194 @@
+//! Start of a fleet's programs, until each of them is ready.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::plan::STAND_IN_ADMIN;
+use super::program::Kind;
+use super::program::Program;
+use super::running::Fleet;
+use super::running::FleetError;
+use super::settings;
+
+/// Longest time until every process of a fleet answers.
+const START_BOUND: Duration = Duration::from_secs(30);
+/// Lines of a log that an error shows.
+const LOG_TAIL_LINES: usize = 8;
+/// Pause between two looks at a process that is starting.
+const LOOK_PAUSE: Duration = Duration::from_millis(30);
+
+impl Fleet {
+    pub(super) async fn start_stand_ins(&mut self) -> Result<(), FleetError> {
+        let platform = self.plan.platform_address();
+        self.start_lab("platform", &["platform", "--listen", &platform])?;
+        for up in self.plan.upstreams() {
+            let plan = self.plan.layout.upstreams;
+            let listen = format!("{}:{}", up.ip, settings::CALLERS);
+            let admin = format!("{}:{STAND_IN_ADMIN}", up.ip);
+            let arguments = [
+                "upstream",
+                "--name",
+                up.name.as_str(),
+                "--listen",
+                &listen,
+                "--admin",
+                &admin,
+                "--source",
+                &up.ip.to_string(),
+                "--connections",
+                &up.connections.to_string(),
+                "--lag-ms",
+                &plan.lag.as_millis().to_string(),
+                "--connect-cost-ms",
+                &plan.connect_cost.as_millis().to_string(),
+                "--work-ms",
+                &plan.work.as_millis().to_string(),
+            ];
+            self.start_lab(&format!("upstream-{}", up.name), &arguments)?;
+        }
+        if self.plan.layout.relays {
+            self.start_relay()?;
+        }
+        self.wait_stand_ins().await
+    }
+
+    fn start_relay(&mut self) -> Result<(), FleetError> {
+        let admin = self.plan.relay_admin();
+        let links = self.plan.links().to_vec();
+        let links: Vec<String> = links
+            .iter()
+            .map(|l| format!("{}={}={}", l.name, l.listen, l.target))
+            .collect();
+        let mut arguments = vec!["relay", "--admin", &admin];
+        for link in &links {
+            arguments.extend(["--link", link]);
+        }
+        self.start_lab("relay", &arguments)
+    }
+
+    fn start_lab(&mut self, name: &str, arguments: &[&str]) -> Result<(), FleetError> {
+        let arguments: Vec<String> = arguments.iter().map(|a| (*a).to_owned()).collect();
+        self.start_program(name, Kind::Lab, &arguments)
+    }
+
+    fn start_program(
+        &mut self,
+        name: &str,
+        kind: Kind,
+        arguments: &[String],
+    ) -> Result<(), FleetError> {
+        let log = self.dir.path().join(format!("{name}.log"));
+        let program = Program::start(kind, arguments, &log)?;
+        self.programs.insert(name.to_owned(), program);
+        Ok(())
+    }
+
+    async fn wait_stand_ins(&self) -> Result<(), FleetError> {
+        self.wait_ready(
+            "platform",
+            &format!("http://{}", self.plan.platform_address()),
+        )
+        .await?;
+        for up in self.plan.upstreams() {
+            let url = format!("http://{}:{STAND_IN_ADMIN}", up.ip);
+            self.wait_ready(&format!("upstream-{}", up.name), &url)
+                .await?;
+        }
+        if self.plan.layout.relays {
+            let url = format!("http://{}", self.plan.relay_admin());
+            self.wait_ready("relay", &url).await?;
+            self.set_delays().await?;
+        }
+        Ok(())
+    }
+
+    async fn set_delays(&self) -> Result<(), FleetError> {
+        if self.plan.layout.delay.is_zero() {
+            return Ok(());
+        }
+        let mode = format!("delay&us={}", self.plan.layout.delay.as_micros());
+        for from in self.plan.domains() {
+            for to in self.plan.domains() {
+                if from != to {
+                    self.switch_links(&from, &to, &mode).await?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn start_vm(&mut self, n: usize) -> Result<(), FleetError> {
+        let settings = self.plan.vm_settings(n, self.submission.signer());
+        let vm = settings.vm.name.clone();
+        let dir = self.dir.path();
+        let files = [
+            (
+                "steward",
+                Kind::Steward,
+                settings.write_steward(dir, &self.plan.layout)?,
+            ),
+            (
+                "pool",
+                Kind::Pool,
+                settings.write_pool(dir, &self.plan.layout)?,
+            ),
+            (
+                "entry",
+                Kind::Entry,
+                settings.write_entry(dir, &self.plan.layout)?,
+            ),
+        ];
+        for (program, kind, file) in files {
+            let arguments = ["--settings".to_owned(), file.display().to_string()];
+            self.start_program(&format!("{vm}-{program}"), kind, &arguments)?;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn wait_vms(&self) -> Result<(), FleetError> {
+        for vm in &self.plan.layout.vms {
+            self.wait_vm(vm.name.as_str()).await?;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn wait_vm(&self, vm: &str) -> Result<(), FleetError> {
+        let programs = [
+            ("steward", Kind::Steward),
+            ("pool", Kind::Pool),
+            ("entry", Kind::Entry),
+        ];
+        for (program, kind) in programs {
+            let url = self.admin(vm, kind);
+            self.wait_ready(&format!("{vm}-{program}"), &url).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the last lines that a program has logged.
+    fn log_tail(&self, name: &str) -> String {
+        let path = self.dir.path().join(format!("{name}.log"));
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().rev().take(LOG_TAIL_LINES).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join("\n")
+    }
+
+    async fn wait_ready(&self, name: &str, url: &str) -> Result<(), FleetError> {
+        let url = format!("{url}/healthz");
+        let deadline = Instant::now() + START_BOUND;
+        while Instant::now() < deadline {
+            let answer = self.http.get(&url).timeout(START_BOUND).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        Err(FleetError::NotReady {
+            name: name.to_owned(),
+            url,
+            after: START_BOUND,
+            log: self.log_tail(name),
+        })
+    }
+}
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use mustardbay_policy::bundle::Bundle;
-use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::names::VmName;
 use tempfile::TempDir;
 use thiserror::Error;
@@ -21,14 +20,8 @@
 use super::submission::Submission;
 use super::submission::SubmissionError;
 
-/// Longest time until every process of a fleet answers.
-const START_BOUND: Duration = Duration::from_secs(30);
 /// Longest time until every process has drained at the end.
 const STOP_BOUND: Duration = Duration::from_secs(10);
-/// Lines of a log that an error shows.
-const LOG_TAIL_LINES: usize = 8;
-/// Pause between two looks at a process that is starting.
-const LOOK_PAUSE: Duration = Duration::from_millis(30);
 
 /// Failure to start or steer a fleet.
 #[derive(Debug, Error)]
@@ -69,10 +62,10 @@
 #[derive(Debug)]
 pub struct Fleet {
     pub(super) plan: Plan,
-    dir: TempDir,
-    submission: Submission,
-    bundle: Bundle,
-    programs: BTreeMap<String, Program>,
+    pub(super) dir: TempDir,
+    pub(super) submission: Submission,
+    pub(super) bundle: Bundle,
+    pub(super) programs: BTreeMap<String, Program>,
     pub(super) http: reqwest::Client,
 }
 
@@ -170,49 +163,6 @@
         format!("http://{}:{port}", self.plan.vm_ip(vm))
     }
 
-    /// Returns the state that a program shows on its admin endpoint.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the endpoint does not answer with JSON.
-    pub async fn state(&self, vm: &str, kind: Kind) -> Result<serde_json::Value, FleetError> {
-        let url = format!("{}/state", self.admin(vm, kind));
-        Ok(self.http.get(url).send().await?.json().await?)
-    }
-
-    /// Returns the metrics page of a program.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the endpoint does not answer.
-    pub async fn metrics(&self, vm: &str, kind: Kind) -> Result<String, FleetError> {
-        let url = format!("{}/metrics", self.admin(vm, kind));
-        Ok(self.http.get(url).send().await?.text().await?)
-    }
-
-    /// Returns the calls that the platform stand-in has counted.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the stand-in does not answer.
-    pub async fn platform_calls(&self) -> Result<f64, FleetError> {
-        let url = format!("http://{}/state", self.plan.platform_address());
-        let state: serde_json::Value = self.http.get(url).send().await?.json().await?;
-        Ok(state["calls_total"].as_f64().unwrap_or(0.0))
-    }
-
-    /// Returns the process identifier of a program of a virtual machine.
-    #[must_use]
-    pub fn process_id(&self, vm: &str, kind: Kind) -> Option<u32> {
-        let program = match kind {
-            Kind::Entry => "entry",
-            Kind::Pool => "pool",
-            Kind::Steward => "steward",
-            Kind::Lab => "lab",
-        };
-        self.programs.get(&format!("{vm}-{program}"))?.id()
-    }
-
     /// Returns another operator, who submits bundles beside this fleet's own.
     ///
     /// # Errors
@@ -231,78 +181,6 @@
         }
     }
 
-    /// Opens a caller's session on an entry.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the entry refuses the session.
-    pub async fn caller(
-        &self,
-        vm: &str,
-        account: &str,
-        route: &str,
-    ) -> Result<tokio_postgres::Client, FleetError> {
-        self.caller_with(vm, account, route, None).await
-    }
-
-    /// Opens a caller's session that starts with a session token.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the entry refuses the session.
-    pub async fn caller_with(
-        &self,
-        vm: &str,
-        account: &str,
-        route: &str,
-        token: Option<&str>,
-    ) -> Result<tokio_postgres::Client, FleetError> {
-        let mut config = tokio_postgres::Config::new();
-        config
-            .host(self.plan.vm_ip(vm).to_string())
-            .port(settings::CALLERS);
-        config
-            .user(account)
-            .password(self.key(account))
-            .dbname(route);
-        config.connect_timeout(Duration::from_secs(5));
-        if let Some(token) = token {
-            config.options(format!("-c mustardbay.session={token}"));
-        }
-        let (client, connection) = config.connect(tokio_postgres::NoTls).await?;
-        tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                tracing::debug!(event = "caller_ended", error = %e);
-            }
-        });
-        Ok(client)
-    }
-
-    /// Returns the upstream that takes itself for the primary under the highest term.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no upstream of the group does.
-    pub async fn primary(&self, group: &str) -> Result<UpstreamName, FleetError> {
-        let groups = self
-            .bundle
-            .groups
-            .iter()
-            .filter(|g| g.name.as_str() == group);
-        let mut best: Option<(u64, UpstreamName)> = None;
-        for up in groups.flat_map(|group| &group.upstreams) {
-            let Ok(state) = self.upstream_state(up.name.as_str()).await else {
-                continue;
-            };
-            let term = state["term"].as_u64().unwrap_or(0);
-            if state["role"] == "primary" && best.as_ref().is_none_or(|(t, _)| *t < term) {
-                best = Some((term, up.name.clone()));
-            }
-        }
-        let best = best.ok_or_else(|| FleetError::Unknown(format!("primary of {group}")))?;
-        Ok(best.1)
-    }
-
     /// Returns a running program by its name, such as `vm1-pool` or `upstream-ledger-1`.
     ///
     /// # Errors
@@ -371,105 +249,6 @@
         }
     }
 
-    async fn start_stand_ins(&mut self) -> Result<(), FleetError> {
-        let platform = self.plan.platform_address();
-        self.start_lab("platform", &["platform", "--listen", &platform])?;
-        for up in self.plan.upstreams() {
-            let plan = self.plan.layout.upstreams;
-            let listen = format!("{}:{}", up.ip, settings::CALLERS);
-            let admin = format!("{}:{STAND_IN_ADMIN}", up.ip);
-            let arguments = [
-                "upstream",
-                "--name",
-                up.name.as_str(),
-                "--listen",
-                &listen,
-                "--admin",
-                &admin,
-                "--source",
-                &up.ip.to_string(),
-                "--connections",
-                &up.connections.to_string(),
-                "--lag-ms",
-                &plan.lag.as_millis().to_string(),
-                "--connect-cost-ms",
-                &plan.connect_cost.as_millis().to_string(),
-                "--work-ms",
-                &plan.work.as_millis().to_string(),
-            ];
-            self.start_lab(&format!("upstream-{}", up.name), &arguments)?;
-        }
-        if self.plan.layout.relays {
-            self.start_relay()?;
-        }
-        self.wait_stand_ins().await
-    }
-
-    fn start_relay(&mut self) -> Result<(), FleetError> {
-        let admin = self.plan.relay_admin();
-        let links = self.plan.links().to_vec();
-        let links: Vec<String> = links
-            .iter()
-            .map(|l| format!("{}={}={}", l.name, l.listen, l.target))
-            .collect();
-        let mut arguments = vec!["relay", "--admin", &admin];
-        for link in &links {
-            arguments.extend(["--link", link]);
-        }
-        self.start_lab("relay", &arguments)
-    }
-
-    fn start_lab(&mut self, name: &str, arguments: &[&str]) -> Result<(), FleetError> {
-        let arguments: Vec<String> = arguments.iter().map(|a| (*a).to_owned()).collect();
-        self.start_program(name, Kind::Lab, &arguments)
-    }
-
-    fn start_program(
-        &mut self,
-        name: &str,
-        kind: Kind,
-        arguments: &[String],
-    ) -> Result<(), FleetError> {
-        let log = self.dir.path().join(format!("{name}.log"));
-        let program = Program::start(kind, arguments, &log)?;
-        self.programs.insert(name.to_owned(), program);
-        Ok(())
-    }
-
-    async fn wait_stand_ins(&self) -> Result<(), FleetError> {
-        self.wait_ready(
-            "platform",
-            &format!("http://{}", self.plan.platform_address()),
-        )
-        .await?;
-        for up in self.plan.upstreams() {
-            let url = format!("http://{}:{STAND_IN_ADMIN}", up.ip);
-            self.wait_ready(&format!("upstream-{}", up.name), &url)
-                .await?;
-        }
-        if self.plan.layout.relays {
-            let url = format!("http://{}", self.plan.relay_admin());
-            self.wait_ready("relay", &url).await?;
-            self.set_delays().await?;
-        }
-        Ok(())
-    }
-
-    async fn set_delays(&self) -> Result<(), FleetError> {
-        if self.plan.layout.delay.is_zero() {
-            return Ok(());
-        }
-        let mode = format!("delay&us={}", self.plan.layout.delay.as_micros());
-        for from in self.plan.domains() {
-            for to in self.plan.domains() {
-                if from != to {
-                    self.switch_links(&from, &to, &mode).await?;
-                }
-            }
-        }
-        Ok(())
-    }
-
     async fn fill_platform(&mut self) -> Result<(), FleetError> {
         for n in 0..self.plan.layout.vms.len() {
             let settings = self.plan.vm_settings(n, self.submission.signer());
@@ -501,78 +280,4 @@
         }
         self.submit(bundle).await
     }
-
-    fn start_vm(&mut self, n: usize) -> Result<(), FleetError> {
-        let settings = self.plan.vm_settings(n, self.submission.signer());
-        let vm = settings.vm.name.clone();
-        let dir = self.dir.path();
-        let files = [
-            (
-                "steward",
-                Kind::Steward,
-                settings.write_steward(dir, &self.plan.layout)?,
-            ),
-            (
-                "pool",
-                Kind::Pool,
-                settings.write_pool(dir, &self.plan.layout)?,
-            ),
-            (
-                "entry",
-                Kind::Entry,
-                settings.write_entry(dir, &self.plan.layout)?,
-            ),
-        ];
-        for (program, kind, file) in files {
-            let arguments = ["--settings".to_owned(), file.display().to_string()];
-            self.start_program(&format!("{vm}-{program}"), kind, &arguments)?;
-        }
-        Ok(())
-    }
-
-    async fn wait_vms(&self) -> Result<(), FleetError> {
-        for vm in &self.plan.layout.vms {
-            self.wait_vm(vm.name.as_str()).await?;
-        }
-        Ok(())
-    }
-
-    async fn wait_vm(&self, vm: &str) -> Result<(), FleetError> {
-        let programs = [
-            ("steward", Kind::Steward),
-            ("pool", Kind::Pool),
-            ("entry", Kind::Entry),
-        ];
-        for (program, kind) in programs {
-            let url = self.admin(vm, kind);
-            self.wait_ready(&format!("{vm}-{program}"), &url).await?;
-        }
-        Ok(())
-    }
-
-    /// Returns the last lines that a program has logged.
-    fn log_tail(&self, name: &str) -> String {
-        let path = self.dir.path().join(format!("{name}.log"));
-        let text = std::fs::read_to_string(path).unwrap_or_default();
-        let lines: Vec<&str> = text.lines().rev().take(LOG_TAIL_LINES).collect();
-        lines.into_iter().rev().collect::<Vec<_>>().join("\n")
-    }
-
-    async fn wait_ready(&self, name: &str, url: &str) -> Result<(), FleetError> {
-        let url = format!("{url}/healthz");
-        let deadline = Instant::now() + START_BOUND;
-        while Instant::now() < deadline {
-            let answer = self.http.get(&url).timeout(START_BOUND).send().await;
-            if answer.is_ok_and(|answer| answer.status().is_success()) {
-                return Ok(());
-            }
-            tokio::time::sleep(LOOK_PAUSE).await;
-        }
-        Err(FleetError::NotReady {
-            name: name.to_owned(),
-            url,
-            after: START_BOUND,
-            log: self.log_tail(name),
-        })
-    }
 }
--- a/crates/lab/tests/e2e/failover.rs
+++ b/crates/lab/tests/e2e/failover.rs
@@ -45,9 +45,9 @@
     }
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn primary_killed() {
-    let mut fleet = Fleet::start(demo()).await.expect("fleet starts");
+/// Starts the demo's fleet and returns it with a caller and the rows that it has written.
+async fn start_and_write() -> (Fleet, Client, Vec<i64>) {
+    let fleet = Fleet::start(demo()).await.expect("fleet starts");
     set_up_table(&fleet).await;
     let caller = fleet
         .caller("vm1", "alice", "ledger")
@@ -55,6 +55,12 @@
         .expect("caller connects");
     let mut acknowledged = Vec::new();
     write_through(&caller, 0, &mut acknowledged).await;
+    (fleet, caller, acknowledged)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn primary_killed() {
+    let (mut fleet, caller, mut acknowledged) = start_and_write().await;
     let primary = fleet.primary("ledger").await.expect("primary");
     fleet
         .kill(&format!("upstream-{primary}"))
@@ -81,14 +87,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn primary_frozen_and_thawed() {
-    let mut fleet = Fleet::start(demo()).await.expect("fleet starts");
-    set_up_table(&fleet).await;
-    let caller = fleet
-        .caller("vm1", "alice", "ledger")
-        .await
-        .expect("caller connects");
-    let mut acknowledged = Vec::new();
-    write_through(&caller, 0, &mut acknowledged).await;
+    let (mut fleet, caller, mut acknowledged) = start_and_write().await;
     let old = fleet.primary("ledger").await.expect("primary");
     let old = format!("upstream-{old}");
     fleet
@@ -207,14 +206,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn platform_down_primary_killed() {
-    let mut fleet = Fleet::start(demo()).await.expect("fleet starts");
-    set_up_table(&fleet).await;
-    let caller = fleet
-        .caller("vm1", "alice", "ledger")
-        .await
-        .expect("caller connects");
-    let mut acknowledged = Vec::new();
-    write_through(&caller, 0, &mut acknowledged).await;
+    let (mut fleet, caller, mut acknowledged) = start_and_write().await;
     let token = session_token(&caller).await;
     fleet
         .switch_platform("down")
