Search everything that a fleet shows for a caller's key

The test reads logs, states and metrics of every program and the upstreams' statement logs; it makes sure that it sees the statements themselves.

--- a/crates/lab/tests/e2e/keys.rs
+++ b/crates/lab/tests/e2e/keys.rs
@@ -4,11 +4,13 @@
 
 use mustardbay_lab::fleet::Fleet;
 use mustardbay_lab::fleet::FleetError;
+use mustardbay_lab::fleet::Kind;
 use mustardbay_lab::fleet::demo;
 use tokio::time::Instant;
 
 use crate::caller::count;
 use crate::caller::eventually;
+use crate::caller::insert;
 use crate::caller::set_up_table;
 
 /// Time within which a change must be in force on every vm.
@@ -93,3 +95,58 @@
     count(&caller).await;
     fleet.stop().await;
 }
+
+/// Reads everything that the fleet shows or writes: logs, states, metrics, and upstreams' states.
+async fn everything_shown(fleet: &Fleet) -> String {
+    let mut shown = String::new();
+    for file in std::fs::read_dir(fleet.directory()).expect("logs are listed") {
+        let path = file.expect("a file").path();
+        shown.push_str(&std::fs::read_to_string(path).expect("a log is read"));
+    }
+    for vm in fleet.vms() {
+        for kind in [Kind::Entry, Kind::Pool, Kind::Steward] {
+            let state = fleet
+                .state(vm.as_str(), kind)
+                .await
+                .expect("state is shown");
+            shown.push_str(&state.to_string());
+            shown.push_str(
+                &fleet
+                    .metrics(vm.as_str(), kind)
+                    .await
+                    .expect("metrics are shown"),
+            );
+        }
+    }
+    for upstream in ["ledger-1", "ledger-2", "ledger-3"] {
+        let state = fleet
+            .upstream_state(upstream)
+            .await
+            .expect("state is shown");
+        shown.push_str(&state.to_string());
+    }
+    shown
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn never_shown() {
+    let fleet = Fleet::start(demo()).await.expect("fleet starts");
+    set_up_table(&fleet).await;
+    let caller = fleet
+        .caller("vm1", "alice", "ledger")
+        .await
+        .expect("caller connects");
+    insert(&caller, 1).await.expect("row is inserted");
+    count(&caller).await;
+    caller
+        .batch_execute("SELECT nonsense")
+        .await
+        .expect_err("a statement fails");
+    let shown = everything_shown(&fleet).await;
+    assert!(
+        shown.contains("INSERT INTO entries"),
+        "the upstreams show their statements"
+    );
+    assert!(!shown.contains(&fleet.key("alice")), "a key is shown");
+    fleet.stop().await;
+}
