Name the parts of the rates by what they do

Purse, deed, heir, rate desk and keeper needed explaining: they are the token buffer of an entry, the handover of a share, its successor, the rate actor and the upkeep actor.

--- a/crates/entry/src/rates.rs
+++ b/crates/entry/src/rates.rs
@@ -11,7 +11,7 @@
 use mustardbay_link::StewardLink;
 use mustardbay_policy::admission::Admission;
 use mustardbay_policy::admission::DrawOrder;
-use mustardbay_policy::admission::Purse;
+use mustardbay_policy::admission::TokenBuffer;
 use mustardbay_policy::names::AccountName;
 use mustardbay_process::timer::Timer;
 use tokio::sync::Notify;
@@ -25,7 +25,7 @@
 pub(crate) struct AccountRate {
     account: AccountName,
     steward: StewardLink,
-    purse: Mutex<Purse>,
+    buffer: Mutex<TokenBuffer>,
     answered: Notify,
 }
 
@@ -93,8 +93,8 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Purse> {
-        self.purse.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, TokenBuffer> {
+        self.buffer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -121,7 +121,7 @@
             Arc::new(AccountRate {
                 account: account.clone(),
                 steward: self.steward.clone(),
-                purse: Mutex::default(),
+                buffer: Mutex::default(),
                 answered: Notify::new(),
             })
         });
--- a/crates/lab/src/rate_study/escrow.rs
+++ b/crates/lab/src/rate_study/escrow.rs
@@ -138,18 +138,18 @@
     }
 
     fn leave(&mut self, index: usize, now: Duration) {
-        let heir = self.ids().into_iter().find(|id| id.vm != name(index));
+        let successor = self.ids().into_iter().find(|id| id.vm != name(index));
         let leaving = self.vms[index].take();
-        let deed = leaving
-            .zip(heir.clone())
-            .and_then(|(mut vm, heir)| vm.holder.leave(heir, now));
-        let heir = heir.and_then(|id| self.find(&id.vm));
-        if let Some((deed, vm)) = deed.zip(heir) {
-            vm.holder.on_deed(&deed, now);
+        let handover = leaving
+            .zip(successor.clone())
+            .and_then(|(mut vm, successor)| vm.holder.leave(successor, now));
+        let successor = successor.and_then(|id| self.find(&id.vm));
+        if let Some((handover, vm)) = handover.zip(successor) {
+            vm.holder.on_handover(&handover, now);
         }
     }
 
-    /// Lets every steward look at the platform: ledger, deeds to register, owners to reclaim.
+    /// Lets every steward look at the platform: ledger, handovers to register, owners to reclaim.
     fn look(&mut self, now: Duration) {
         for vm in self.vms.iter_mut().flatten() {
             vm.holder.advance(now);
@@ -157,18 +157,18 @@
         if !self.platform_up {
             return;
         }
-        self.register_deeds();
+        self.register_handovers();
         self.reclaim(now);
         self.read_ledger(now);
     }
 
-    fn register_deeds(&mut self) {
+    fn register_handovers(&mut self) {
         for vm in self.vms.iter().flatten() {
-            let deeds = vm.holder.unregistered();
-            if deeds.is_empty() {
+            let handovers = vm.holder.unregistered();
+            if handovers.is_empty() {
                 continue;
             }
-            if let Some(next) = self.ledger.moved(&deeds, vm.holder.id(), 0) {
+            if let Some(next) = self.ledger.moved(&handovers, vm.holder.id(), 0) {
                 self.ledger = next;
             }
         }
@@ -211,7 +211,7 @@
         }
         for owner in ready {
             let next = match self.inheritance {
-                Inheritance::Hashed => self.hashed_heir(&owner, ids),
+                Inheritance::Hashed => self.hashed_successor(&owner, ids),
                 Inheritance::Leader => self.ledger.divided(&owner, ids, 0),
             };
             if let Some(next) = next {
@@ -220,10 +220,10 @@
         }
     }
 
-    fn hashed_heir(&self, owner: &HolderId, ids: &[HolderId]) -> Option<Ledger> {
+    fn hashed_successor(&self, owner: &HolderId, ids: &[HolderId]) -> Option<Ledger> {
         let turn = usize::try_from(owner.incarnation).unwrap_or_default();
-        let heir = ids.get(turn.checked_rem(ids.len())?)?;
-        self.ledger.moved(std::slice::from_ref(owner), heir, 0)
+        let successor = ids.get(turn.checked_rem(ids.len())?)?;
+        self.ledger.moved(std::slice::from_ref(owner), successor, 0)
     }
 
     fn read_ledger(&mut self, now: Duration) {
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -54,7 +54,7 @@
 
 /// Tokens of one account in this process.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct Purse {
+pub struct TokenBuffer {
     grants: VecDeque<Grant>,
     draw: Option<Draw>,
     barren_until: Option<Instant>,
@@ -64,7 +64,7 @@
     low_water: u64,
 }
 
-impl Purse {
+impl TokenBuffer {
     /// Decides on one batch, and orders a draw if tokens run short.
     ///
     /// A token is spent only if its grant is valid at `now`, whatever happened since it was
--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -14,19 +14,19 @@
 //!   while its tokens are under way, and the fleet would hold more than one burst.
 //! - Tokens handed to a local program occupy burst until they are reported spent or are no longer
 //!   valid. A loan stops backing new grants one validity before its term ends.
-//! - An owner that leaves gives its entry of the ledger to one peer as a [`Deed`], also while the
-//!   platform is down. The deed carries the entry's identity, so it is valid only as long as the
+//! - An owner that leaves gives its entry of the ledger to one peer as a [`Handover`], also while the
+//!   platform is down. The handover carries the entry's identity, so it is valid only as long as the
 //!   ledger lists that entry.
 //! - An owner that was paused for [`FREEZE_GAP`] or more may have lost its entry unaware: its parts
 //!   are frozen until the ledger confirms them. [`Reclaim`] takes an entry only after its owner was
 //!   gone for [`RECLAIM_WAIT`], which is longer, and after every listed virtual machine has said that
-//!   it holds no deed of the entry and will accept none.
+//!   it holds no handover of the entry and will accept none.
 //!
 //! - A new life on the same virtual machine knows that the last one has ended, since it listens on
 //!   its addresses. It takes over the last one's entry after [`SUCCESSION_WAIT`], when every loan and
 //!   grant of the last life has lapsed, and with an empty bucket: the last life spent from one burst,
 //!   the new one starts at none, so any window holds one burst and one rate. The other virtual
-//!   machines are asked for a deed as in any reclaim.
+//!   machines are asked for a handover as in any reclaim.
 //!
 //! # What each choice trades
 //!
@@ -41,9 +41,9 @@
 //!   anywhere, and is the new rate as soon as every holder has the new bundle.
 
 mod borrowing;
-mod deed;
 mod demand;
 mod draw;
+mod handover;
 mod holder;
 mod holder_id;
 mod ledger;
@@ -55,8 +55,8 @@
 use std::time::Duration;
 
 pub use self::borrowing::Borrowing;
-pub use self::deed::Deed;
 pub use self::draw::Draw;
+pub use self::handover::Handover;
 pub use self::holder::DrawerId;
 pub use self::holder::Holder;
 pub use self::holder::Holding;
--- a/crates/policy/src/escrow/deed.rs
+++ b/crates/policy/src/escrow/handover.rs
@@ -12,9 +12,9 @@
 /// Entries of the ledger that their owner gives to one peer for good.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Deed {
+pub struct Handover {
     /// The one life that may take it; another life of the same virtual machine must not.
-    pub heir: HolderId,
+    pub successor: HolderId,
     /// Entries, under the names that the ledger lists them by.
     pub entries: Vec<LedgerEntry>,
     /// Rate parts of these entries that are still lent out.
--- a/crates/policy/src/escrow/holder.rs
+++ b/crates/policy/src/escrow/holder.rs
@@ -47,8 +47,8 @@
     burst: u64,
     epoch: u64,
     own: Parts,
-    deeds: BTreeMap<HolderId, Parts>,
-    past_deeds: BTreeSet<HolderId>,
+    handovers: BTreeMap<HolderId, Parts>,
+    past_handovers: BTreeSet<HolderId>,
     fences: BTreeSet<HolderId>,
     lent: Vec<Lent>,
     borrowed: Vec<Borrowed>,
@@ -67,10 +67,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Holding {
-    /// Parts owned by the ledger's entry and by deeds.
+    /// Parts owned by the ledger's entry and by handovers.
     pub owned: Parts,
-    /// Owners whose deeds are held.
-    pub deeds: Vec<String>,
+    /// Owners whose handovers are held.
+    pub handovers: Vec<String>,
     /// Rate parts in use, after loans.
     pub rate: Parts,
     /// Burst parts in use, after loans.
@@ -103,8 +103,8 @@
             burst,
             epoch: 0,
             own: Parts::NONE,
-            deeds: BTreeMap::new(),
-            past_deeds: BTreeSet::new(),
+            handovers: BTreeMap::new(),
+            past_handovers: BTreeSet::new(),
             fences: BTreeSet::new(),
             lent: Vec::new(),
             borrowed: Vec::new(),
@@ -173,7 +173,7 @@
     pub fn holding(&self) -> Holding {
         Holding {
             owned: self.owned(),
-            deeds: self.deeds.keys().map(ToString::to_string).collect(),
+            handovers: self.handovers.keys().map(ToString::to_string).collect(),
             rate: self.rate_parts(),
             burst: self.burst_parts(),
             lent: self.lent.len(),
@@ -247,7 +247,7 @@
     }
 
     fn owned(&self) -> Parts {
-        self.own.plus(self.deeds.values().copied().sum())
+        self.own.plus(self.handovers.values().copied().sum())
     }
 
     fn usable(&self) -> Parts {
--- a/crates/policy/src/escrow/holder/ownership.rs
+++ b/crates/policy/src/escrow/holder/ownership.rs
@@ -1,10 +1,10 @@
-//! Parts that a holder owns: the ledger, deeds and fences.
+//! Parts that a holder owns: the ledger, handovers and fences.
 
 use std::time::Duration;
 
 use super::Holder;
-use crate::escrow::Deed;
 use crate::escrow::FIRST_EPOCH;
+use crate::escrow::Handover;
 use crate::escrow::HolderId;
 use crate::escrow::Ledger;
 use crate::escrow::LedgerEntry;
@@ -24,7 +24,7 @@
         let is_first = self.epoch == 0 && ledger.epoch == FIRST_EPOCH;
         self.epoch = ledger.epoch;
         self.own = ledger.parts(&self.id);
-        self.deeds.retain(|owner, _| ledger.lists(owner));
+        self.handovers.retain(|owner, _| ledger.lists(owner));
         if self.frozen <= confirmed {
             self.frozen = None;
         }
@@ -35,10 +35,10 @@
         }
     }
 
-    /// Returns the deeds held whose owners the ledger still has to replace by this holder.
+    /// Returns the handovers held whose owners the ledger still has to replace by this holder.
     #[must_use]
     pub fn unregistered(&self) -> Vec<HolderId> {
-        self.deeds.keys().cloned().collect()
+        self.handovers.keys().cloned().collect()
     }
 
     /// Returns the identity under which the ledger lists this holder.
@@ -62,61 +62,62 @@
     /// Gives up every part for good to one life of a peer; `None` if there is nothing to give.
     ///
     /// Frozen parts are not given: the ledger may have moved them already.
-    pub fn leave(&mut self, heir: HolderId, now: Duration) -> Option<Deed> {
+    pub fn leave(&mut self, successor: HolderId, now: Duration) -> Option<Handover> {
         self.advance(now);
         if self.frozen.is_some() || self.left || self.owned() == Parts::NONE {
             self.left = true;
             self.resize();
             return None;
         }
-        let deed = Deed {
-            heir,
+        let handover = Handover {
+            successor,
             entries: self.entries(),
             lent_rate: self.lent.iter().map(|l| l.rate).sum(),
             lent_burst: self.lent_burst_and_grants(),
             lent_for: self.longest_use(now),
         };
         self.left = true;
-        self.past_deeds.extend(self.deeds.keys().cloned());
-        self.deeds.clear();
+        self.past_handovers.extend(self.handovers.keys().cloned());
+        self.handovers.clear();
         self.bucket.clear();
         self.resize();
-        Some(deed)
+        Some(handover)
     }
 
     /// Takes over entries of an owner that leaves; returns the owners to confirm, if any.
-    pub fn on_deed(&mut self, deed: &Deed, now: Duration) -> Option<Vec<HolderId>> {
+    pub fn on_handover(&mut self, handover: &Handover, now: Duration) -> Option<Vec<HolderId>> {
         self.advance(now);
-        let owners: Vec<HolderId> = deed.entries.iter().map(|e| e.owner.clone()).collect();
-        let known = |o: &HolderId| self.deeds.contains_key(o) || self.past_deeds.contains(o);
+        let owners: Vec<HolderId> = handover.entries.iter().map(|e| e.owner.clone()).collect();
+        let known =
+            |o: &HolderId| self.handovers.contains_key(o) || self.past_handovers.contains(o);
         if owners.iter().any(known) {
             return Some(owners);
         }
         let fenced = owners.iter().any(|o| self.fences.contains(o));
-        if self.left || fenced || deed.heir != self.id {
+        if self.left || fenced || handover.successor != self.id {
             return None;
         }
-        for entry in &deed.entries {
-            self.deeds.insert(entry.owner.clone(), entry.parts);
-            self.past_deeds.insert(entry.owner.clone());
+        for entry in &handover.entries {
+            self.handovers.insert(entry.owner.clone(), entry.parts);
+            self.past_handovers.insert(entry.owner.clone());
         }
         let loan = self.next_number();
         self.lent.push(Lent {
             loan,
             to: self.id.vm.clone(),
-            rate: deed.lent_rate,
-            burst: deed.lent_burst,
-            until: now + deed.lent_for,
+            rate: handover.lent_rate,
+            burst: handover.lent_burst,
+            until: now + handover.lent_for,
         });
         self.resize();
         Some(owners)
     }
 
-    /// Refuses deeds of an owner from now on; returns whether one is held.
+    /// Refuses handovers of an owner from now on; returns whether one is held.
     pub fn on_fence(&mut self, owner: &HolderId, now: Duration) -> bool {
         self.advance(now);
         self.fences.insert(owner.clone());
-        self.deeds.contains_key(owner)
+        self.handovers.contains_key(owner)
     }
 
     fn entries(&self) -> Vec<LedgerEntry> {
@@ -124,13 +125,13 @@
             owner: self.id.clone(),
             parts: self.own,
         };
-        let deeds = self.deeds.iter().map(|(owner, parts)| LedgerEntry {
+        let handovers = self.handovers.iter().map(|(owner, parts)| LedgerEntry {
             owner: owner.clone(),
             parts: *parts,
         });
         std::iter::once(own)
             .filter(|e| e.parts > Parts::NONE)
-            .chain(deeds)
+            .chain(handovers)
             .collect()
     }
 
--- a/crates/policy/src/escrow/ledger.rs
+++ b/crates/policy/src/escrow/ledger.rs
@@ -92,9 +92,9 @@
         let first = heirs.first()?;
         let each = self.parts(from).scaled(1, count);
         let mut next = self.moved(std::slice::from_ref(from), first, nonce)?;
-        for heir in &heirs[1..] {
+        for successor in &heirs[1..] {
             next.take(first, each);
-            next.add(heir, each);
+            next.add(successor, each);
         }
         Some(next)
     }
--- a/crates/policy/src/escrow/message.rs
+++ b/crates/policy/src/escrow/message.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 use super::Ask;
-use super::Deed;
+use super::Handover;
 use super::HolderId;
 use super::Loan;
 use super::Return;
@@ -20,12 +20,12 @@
     /// Gives a loan back early.
     Return(Return),
     /// Gives entries of the ledger for good.
-    Deed(Deed),
-    /// Confirms that the deed of these owners has arrived.
-    DeedTaken(Vec<HolderId>),
-    /// Asks whether the receiver holds a deed of an owner that is gone, and forbids it to take one.
+    Handover(Handover),
+    /// Confirms that the handover of these owners has arrived.
+    HandoverTaken(Vec<HolderId>),
+    /// Asks whether the receiver holds a handover of an owner that is gone, and forbids it to take one.
     Fence(HolderId),
-    /// Answers a fence: whether the sender holds the deed or has lately heard from the owner.
+    /// Answers a fence: whether the sender holds the handover or has lately heard from the owner.
     Fenced {
         /// Owner that was asked about.
         owner: HolderId,
--- a/crates/policy/src/escrow/reclaim.rs
+++ b/crates/policy/src/escrow/reclaim.rs
@@ -25,9 +25,9 @@
 
 /// Reclaim of one entry whose owner is gone.
 ///
-/// A virtual machine that was listed at any time during the reclaim may hold the owner's deed. Its
+/// A virtual machine that was listed at any time during the reclaim may hold the owner's handover. Its
 /// steward must say that it does not, or be gone for [`RECLAIM_WAIT`] itself. An answer of any life
-/// counts, since a deed names the one life that may take it and that life was there before the owner
+/// counts, since a handover names the one life that may take it and that life was there before the owner
 /// went.
 #[derive(Debug, Clone)]
 pub struct Reclaim {
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -5,7 +5,7 @@
 
 use mustardbay_policy::admission::Admission;
 use mustardbay_policy::admission::DrawOrder;
-use mustardbay_policy::admission::Purse;
+use mustardbay_policy::admission::TokenBuffer;
 
 const VALID: Duration = Duration::from_millis(500);
 const RETRY: Duration = Duration::from_millis(70);
@@ -14,19 +14,19 @@
     Duration::from_millis(millis)
 }
 
-/// Purse that was granted `tokens` in answer to a draw sent at `start`.
-fn purse(tokens: u64, start: Instant) -> Purse {
-    let mut purse = Purse::default();
-    purse.admit(start);
-    purse.granted(tokens, VALID, RETRY, start + ms(1));
-    purse
+/// Buffer that was granted `tokens` in answer to a draw sent at `start`.
+fn buffer(tokens: u64, start: Instant) -> TokenBuffer {
+    let mut buffer = TokenBuffer::default();
+    buffer.admit(start);
+    buffer.granted(tokens, VALID, RETRY, start + ms(1));
+    buffer
 }
 
 #[test]
 fn admit_first_waits_for_its_draw() {
     let now = Instant::now();
-    let mut purse = Purse::default();
-    let (admission, order) = purse.admit(now);
+    let mut buffer = TokenBuffer::default();
+    let (admission, order) = buffer.admit(now);
     assert!(matches!(admission, Admission::Wait(_)));
     assert_eq!(
         order,
@@ -35,7 +35,7 @@
             spent: 0
         })
     );
-    let (admission, order) = purse.admit(now + ms(1));
+    let (admission, order) = buffer.admit(now + ms(1));
     assert!(matches!(admission, Admission::Wait(_)));
     assert_eq!(order, None);
 }
@@ -43,13 +43,13 @@
 #[test]
 fn admit_never_more_than_granted() {
     let start = Instant::now();
-    let mut purse = purse(5, start);
+    let mut buffer = buffer(5, start);
     let mut admitted = 0;
     for i in 0..50 {
-        let (admission, order) = purse.admit(start + ms(2 + i));
+        let (admission, order) = buffer.admit(start + ms(2 + i));
         admitted += usize::from(admission == Admission::Admitted);
         if order.is_some() {
-            purse.granted(0, VALID, RETRY, start + ms(2 + i));
+            buffer.granted(0, VALID, RETRY, start + ms(2 + i));
         }
     }
     assert_eq!(admitted, 5);
@@ -58,10 +58,10 @@
 #[test]
 fn admit_not_with_an_expired_token() {
     let start = Instant::now();
-    let mut purse = purse(5, start);
-    assert_eq!(purse.admit(start + ms(499)).0, Admission::Admitted);
+    let mut buffer = buffer(5, start);
+    assert_eq!(buffer.admit(start + ms(499)).0, Admission::Admitted);
     // Valid from when the draw was sent, not from when the grant arrived.
-    let (admission, order) = purse.admit(start + ms(500));
+    let (admission, order) = buffer.admit(start + ms(500));
     assert!(matches!(admission, Admission::Wait(_)));
     assert_eq!(order.unwrap().spent, 5);
 }
@@ -69,8 +69,8 @@
 #[test]
 fn draw_ahead_before_empty() {
     let start = Instant::now();
-    let mut purse = purse(10, start);
-    let orders: Vec<_> = (0..5).map(|i| purse.admit(start + ms(2 + i)).1).collect();
+    let mut buffer = buffer(10, start);
+    let orders: Vec<_> = (0..5).map(|i| buffer.admit(start + ms(2 + i)).1).collect();
     assert_eq!(orders.iter().flatten().count(), 1);
     assert!(orders[4].is_some());
 }
@@ -78,8 +78,8 @@
 #[test]
 fn draw_follows_the_pace() {
     let start = Instant::now();
-    let mut purse = purse(100, start);
-    let order = (1..=50).find_map(|i| purse.admit(start + ms(i)).1);
+    let mut buffer = buffer(100, start);
+    let order = (1..=50).find_map(|i| buffer.admit(start + ms(i)).1);
     // One batch a millisecond needs about a hundred tokens within the horizon.
     assert!((90..=110).contains(&order.unwrap().wanted));
 }
@@ -87,11 +87,11 @@
 #[test]
 fn refused_with_the_time_of_the_source() {
     let start = Instant::now();
-    let mut purse = purse(0, start);
-    let (admission, order) = purse.admit(start + ms(11));
+    let mut buffer = buffer(0, start);
+    let (admission, order) = buffer.admit(start + ms(11));
     assert_eq!(admission, Admission::Refused(ms(60)));
     assert_eq!(order, None);
-    let (admission, order) = purse.admit(start + ms(71));
+    let (admission, order) = buffer.admit(start + ms(71));
     assert!(matches!(admission, Admission::Wait(_)));
     assert!(order.is_some());
 }
@@ -99,22 +99,22 @@
 #[test]
 fn refused_while_a_draw_takes_long() {
     let start = Instant::now();
-    let mut purse = Purse::default();
-    purse.admit(start);
+    let mut buffer = TokenBuffer::default();
+    buffer.admit(start);
     assert!(matches!(
-        purse.admit(start + ms(200)).0,
+        buffer.admit(start + ms(200)).0,
         Admission::Refused(_)
     ));
-    purse.unanswered(start + ms(205));
-    assert_eq!(purse.admit(start + ms(205)).0, Admission::Refused(ms(250)));
+    buffer.unanswered(start + ms(205));
+    assert_eq!(buffer.admit(start + ms(205)).0, Admission::Refused(ms(250)));
 }
 
 #[test]
 fn report_without_a_draw() {
     let start = Instant::now();
-    let mut purse = purse(10, start);
-    purse.admit(start + ms(2));
-    let order = purse.report(start + ms(3));
+    let mut buffer = buffer(10, start);
+    buffer.admit(start + ms(2));
+    let order = buffer.report(start + ms(3));
     assert_eq!(
         order,
         Some(DrawOrder {
@@ -122,14 +122,14 @@
             spent: 1
         })
     );
-    assert_eq!(purse.report(start + ms(4)), None);
+    assert_eq!(buffer.report(start + ms(4)), None);
 }
 
 #[test]
 fn single_token_is_reported_and_not_drawn_ahead() {
     let start = Instant::now();
-    let mut purse = purse(1, start);
-    let (admission, order) = purse.admit(start + ms(2));
+    let mut buffer = buffer(1, start);
+    let (admission, order) = buffer.admit(start + ms(2));
     assert_eq!(admission, Admission::Admitted);
     let order = order.expect("the spent token is reported");
     assert_eq!((order.wanted, order.spent), (0, 1));
--- a/crates/policy/tests/escrow.rs
+++ b/crates/policy/tests/escrow.rs
@@ -1,4 +1,4 @@
-//! Escrow of rates: the sum over the fleet, loans, deeds, freezes and reclaims.
+//! Escrow of rates: the sum over the fleet, loans, handovers, freezes and reclaims.
 
 #[path = "escrow/world.rs"]
 mod world;
@@ -97,7 +97,7 @@
         Step::Kill(vm) => world.kill(vm),
         Step::Start(vm) => world.start(vm),
         Step::Pause(vm, ms, delist) => world.pause(vm, Duration::from_millis(ms), delist),
-        Step::Leave(vm, heir) => world.leave(vm, heir),
+        Step::Leave(vm, successor) => world.leave(vm, successor),
         Step::ReadLedger(vm) => world.read_ledger(vm),
         Step::Platform(up) => world.platform_up = up,
     }
@@ -188,7 +188,7 @@
 }
 
 #[test]
-fn deed_moves_parts_during_outage() {
+fn handover_moves_parts_during_outage() {
     let mut world = World::new(4, 100.0, 40.0);
     world.platform_up = false;
     world.leave(0, 1);
@@ -204,7 +204,7 @@
 }
 
 #[test]
-fn deed_unregistered_is_not_reclaimed() {
+fn handover_unregistered_is_not_reclaimed() {
     let mut world = World::new(4, 100.0, 40.0);
     world.leave(0, 1);
     world.deliver_all();
@@ -286,7 +286,7 @@
 }
 
 #[test]
-fn deed_brings_no_tokens_with_first_ledger() {
+fn handover_brings_no_tokens_with_first_ledger() {
     let mut world = World::new(2, 1.0, 40.0);
     world.draw(0, 100, 100);
     world.kill(1);
--- a/crates/policy/tests/escrow/world.rs
+++ b/crates/policy/tests/escrow/world.rs
@@ -5,9 +5,9 @@
 
 use mustardbay_policy::account::Bucket;
 use mustardbay_policy::account::TOKEN;
-use mustardbay_policy::escrow::Deed;
 use mustardbay_policy::escrow::Draw;
 use mustardbay_policy::escrow::GRANT_VALIDITY;
+use mustardbay_policy::escrow::Handover;
 use mustardbay_policy::escrow::Holder;
 use mustardbay_policy::escrow::HolderId;
 use mustardbay_policy::escrow::Ledger;
@@ -38,7 +38,7 @@
     pub holder: Holder,
     held: Vec<Held>,
     unreported: u64,
-    deed: Option<Deed>,
+    handover: Option<Handover>,
     reclaims: BTreeMap<HolderId, Reclaim>,
     paused_until: Duration,
     listed: bool,
@@ -98,7 +98,7 @@
             holder: Holder::new(id, self.limits.0, self.limits.1, self.now),
             held: Vec::new(),
             unreported: 0,
-            deed: None,
+            handover: None,
             reclaims: BTreeMap::new(),
             paused_until: Duration::ZERO,
             listed: true,
@@ -117,7 +117,7 @@
             if self.runs(vm) {
                 self.vms[vm].listed = true;
                 self.vms[vm].holder.advance(self.now);
-                self.resend_deed(vm);
+                self.resend_handover(vm);
                 self.reclaim(vm);
             }
         }
@@ -222,12 +222,12 @@
             }
             Message::Loan(loan) => holder.on_loan(&from, *loan, now),
             Message::Return(back) => holder.on_return(&from, *back, now),
-            Message::Deed(deed) => {
-                if let Some(owners) = holder.on_deed(deed, now) {
-                    self.send(vm, from, Message::DeedTaken(owners));
+            Message::Handover(handover) => {
+                if let Some(owners) = holder.on_handover(handover, now) {
+                    self.send(vm, from, Message::HandoverTaken(owners));
                 }
             }
-            Message::DeedTaken(_) => self.vms[vm].deed = None,
+            Message::HandoverTaken(_) => self.vms[vm].handover = None,
             Message::Fence(owner) => {
                 let keep = holder.on_fence(owner, now);
                 let owner = owner.clone();
@@ -262,22 +262,26 @@
     }
 
     /// Lets a virtual machine hand its parts to another.
-    pub fn leave(&mut self, vm: usize, heir: usize) {
-        if !self.runs(vm) || vm == heir || self.vms[vm].deed.is_some() {
+    pub fn leave(&mut self, vm: usize, successor: usize) {
+        if !self.runs(vm) || vm == successor || self.vms[vm].handover.is_some() {
             return;
         }
-        let heir = self.vms[heir].holder.id().clone();
-        self.vms[vm].deed = self.vms[vm].holder.leave(heir, self.now);
-        self.resend_deed(vm);
+        let successor = self.vms[successor].holder.id().clone();
+        self.vms[vm].handover = self.vms[vm].holder.leave(successor, self.now);
+        self.resend_handover(vm);
     }
 
-    fn resend_deed(&mut self, vm: usize) {
-        if let Some(deed) = self.vms[vm].deed.clone() {
-            self.send(vm, deed.heir.vm.clone(), Message::Deed(deed));
+    fn resend_handover(&mut self, vm: usize) {
+        if let Some(handover) = self.vms[vm].handover.clone() {
+            self.send(
+                vm,
+                handover.successor.vm.clone(),
+                Message::Handover(handover),
+            );
         }
     }
 
-    /// Reads the ledger, and registers the deeds that are held.
+    /// Reads the ledger, and registers the handovers that are held.
     pub fn read_ledger(&mut self, vm: usize) {
         if !self.runs(vm) || !self.platform_up {
             return;
@@ -285,11 +289,11 @@
         let now = self.now;
         let holder = &mut self.vms[vm].holder;
         holder.on_ledger(&self.ledger, Some(now), now);
-        let deeds = holder.unregistered();
-        if deeds.is_empty() {
+        let handovers = holder.unregistered();
+        if handovers.is_empty() {
             return;
         }
-        if let Some(next) = self.ledger.moved(&deeds, holder.id(), 0) {
+        if let Some(next) = self.ledger.moved(&handovers, holder.id(), 0) {
             holder.on_ledger(&next, Some(now), now);
             self.ledger = next;
         }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -4,11 +4,11 @@
 mod command_line;
 mod drain;
 mod entry_link;
-mod keeper;
 mod metrics;
 mod request;
 mod server;
 mod settings;
+mod upkeep;
 mod upstream;
 
 pub use command_line::run;
--- a/crates/pool/src/server.rs
+++ b/crates/pool/src/server.rs
@@ -27,9 +27,9 @@
 use crate::catalog::Catalog;
 use crate::drain::drain;
 use crate::entry_link::serve_entry;
-use crate::keeper;
 use crate::metrics::PoolMetrics;
 use crate::settings::PoolSettings;
+use crate::upkeep;
 use crate::upstream::Target;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamKey;
@@ -88,7 +88,7 @@
         tracing::info!(event = "pool_started", %address, vm = self.shared.settings.vm);
         tokio::spawn(accept_entries(self.clone(), listener));
         tokio::spawn(drain(self.clone()));
-        keeper::start(self.clone(), &self.shared.timer);
+        upkeep::start(self.clone(), &self.shared.timer);
         Ok(address)
     }
 
--- a/crates/pool/src/keeper.rs
+++ b/crates/pool/src/upkeep.rs
@@ -17,11 +17,11 @@
 
 /// Actor that looks after the served upstreams.
 #[derive(Debug)]
-pub(crate) struct Keeper {
+pub(crate) struct Upkeep {
     pool: Pool,
 }
 
-impl Actor for Keeper {
+impl Actor for Upkeep {
     type Args = Pool;
     type Error = Infallible;
 
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 struct Upkeep;
 
-impl Message<Upkeep> for Keeper {
+impl Message<Upkeep> for Upkeep {
     type Reply = ();
 
     async fn handle(&mut self, _msg: Upkeep, _ctx: &mut Context<Self, ()>) {
@@ -49,14 +49,14 @@
 pub(crate) fn start(pool: Pool, timer: &Timer) {
     let mut changes = pool.changes();
     let mut ticks = timer.every(UPKEEP_PERIOD);
-    let keeper = Keeper::spawn(pool);
+    let upkeep = Upkeep::spawn(pool);
     tokio::spawn(async move {
         loop {
             tokio::select! {
                 result = changes.changed() => if result.is_err() { return },
                 tick = ticks.recv() => if tick.is_none() { return },
             }
-            if keeper.tell(Upkeep).await.is_err() {
+            if upkeep.tell(Upkeep).await.is_err() {
                 return;
             }
         }
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -12,7 +12,7 @@
 mod outbox;
 mod parts;
 mod peers;
-mod rate_desk;
+mod rate_actor;
 mod rates;
 mod records;
 mod settings;
--- a/crates/steward/src/local.rs
+++ b/crates/steward/src/local.rs
@@ -23,9 +23,9 @@
 
 use crate::board::Board;
 use crate::board::Sent;
-use crate::rate_desk::Disconnect;
-use crate::rate_desk::Draw;
-use crate::rate_desk::RateDesk;
+use crate::rate_actor::Disconnect;
+use crate::rate_actor::Draw;
+use crate::rate_actor::RateActor;
 use crate::rates::LinkId;
 
 /// Pause after a failure to accept, such as too many open files.
@@ -39,12 +39,12 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Local {
     board: Arc<Board>,
-    desk: ActorRef<RateDesk>,
+    desk: ActorRef<RateActor>,
     next_link: Arc<AtomicU64>,
 }
 
 impl Local {
-    pub(crate) fn new(board: Arc<Board>, desk: ActorRef<RateDesk>) -> Self {
+    pub(crate) fn new(board: Arc<Board>, desk: ActorRef<RateActor>) -> Self {
         Self {
             board,
             desk,
@@ -80,7 +80,7 @@
             tracing::warn!(event = "local_link_failed", link = link.0, error = %e);
         }
         if self.desk.tell(Disconnect(link)).await.is_err() {
-            tracing::debug!(event = "rate_desk_gone");
+            tracing::debug!(event = "rate_actor_gone");
         }
     }
 
@@ -126,7 +126,7 @@
                     reply: outbox.clone(),
                 };
                 if self.desk.tell(draw).await.is_err() {
-                    tracing::debug!(event = "rate_desk_gone");
+                    tracing::debug!(event = "rate_actor_gone");
                 }
             }
             Some(to_steward::Body::Health(health)) => {
--- a/crates/steward/src/parts.rs
+++ b/crates/steward/src/parts.rs
@@ -34,8 +34,8 @@
 use crate::peers::Peers;
 use crate::peers::PeersArgs;
 use crate::peers::Targets;
-use crate::rate_desk;
-use crate::rate_desk::RateDesk;
+use crate::rate_actor;
+use crate::rate_actor::RateActor;
 use crate::rates::LedgerStore;
 use crate::rates::Rates;
 use crate::records::Records;
@@ -53,7 +53,7 @@
     pub(crate) board: Arc<Board>,
     pub(crate) groups: ActorRef<Groups>,
     pub(crate) bundles: ActorRef<Bundles>,
-    pub(crate) desk: ActorRef<RateDesk>,
+    pub(crate) desk: ActorRef<RateActor>,
     pub(crate) peers: ActorRef<Peers>,
     pub(crate) directory: ActorRef<Directory>,
     pub(crate) stats: Arc<Stats>,
@@ -98,8 +98,8 @@
             Instant::now(),
         );
         let store = LedgerStore::new(Arc::clone(platform));
-        let desk = RateDesk::new(rates, Arc::clone(&board), outbox, store);
-        let desk = RateDesk::spawn(desk);
+        let desk = RateActor::new(rates, Arc::clone(&board), outbox, store);
+        let desk = RateActor::spawn(desk);
         let peers = Peers::spawn(PeersArgs {
             vm: settings.vm.clone(),
             state: own_state(settings, peers, incarnation),
@@ -146,7 +146,7 @@
 
     async fn hand_over(&self) {
         let said = self.peers.ask(peers::Leave { goodbye: false }).await;
-        let handed = self.desk.ask(rate_desk::HandBack).await;
+        let handed = self.desk.ask(rate_actor::HandBack).await;
         tokio::time::sleep(LEAVE_PAUSE).await;
         let gone = self.peers.ask(peers::Leave { goodbye: true }).await;
         tokio::time::sleep(LEAVE_PAUSE).await;
@@ -183,7 +183,7 @@
                     "groups": view.groups,
                     "promotion": groups.ask(groups::Dump).await.unwrap_or_default().0,
                     "peers": peers.ask(peers::Dump).await.unwrap_or_default().0,
-                    "rates": desk.ask(rate_desk::Dump).await.unwrap_or_default().0,
+                    "rates": desk.ask(rate_actor::Dump).await.unwrap_or_default().0,
                     "platform": directory.ask(directory::Dump).await.unwrap_or_default().0,
                     "platform_calls": calls,
                 })
--- a/crates/steward/src/peers.rs
+++ b/crates/steward/src/peers.rs
@@ -32,7 +32,7 @@
 use crate::bundles::Bundles;
 use crate::groups::Groups;
 use crate::outbox::Outgoing;
-use crate::rate_desk::RateDesk;
+use crate::rate_actor::RateActor;
 use crate::records::Records;
 use crate::stats::Stats;
 pub(crate) use accept::accept;
@@ -73,7 +73,7 @@
     pub(crate) records: Arc<Records>,
     pub(crate) groups: ActorRef<Groups>,
     pub(crate) bundles: ActorRef<Bundles>,
-    pub(crate) desk: ActorRef<RateDesk>,
+    pub(crate) desk: ActorRef<RateActor>,
     pub(crate) dialer: Dialer,
     pub(crate) stats: Arc<Stats>,
 }
--- a/crates/steward/src/peers/receive.rs
+++ b/crates/steward/src/peers/receive.rs
@@ -19,7 +19,7 @@
 use crate::peers::Peers;
 use crate::peers::convert;
 use crate::peers::log_news;
-use crate::rate_desk;
+use crate::rate_actor;
 
 /// Entries of one [`News`](mustardbay_wire::News) message.
 const NEWS_ENTRIES: usize = 200;
@@ -101,7 +101,7 @@
                 tell(&self.targets.groups, opinion).await;
             }
             Some(Body::Rates(body)) => {
-                tell(&self.targets.desk, rate_desk::FromPeer { vm: from, body }).await;
+                tell(&self.targets.desk, rate_actor::FromPeer { vm: from, body }).await;
             }
             None => {}
         }
--- a/crates/steward/src/rate_desk.rs
+++ b/crates/steward/src/rate_actor.rs
@@ -28,7 +28,7 @@
 
 /// Actor that owns the rate shares.
 #[derive(Debug, Actor)]
-pub(crate) struct RateDesk {
+pub(crate) struct RateActor {
     rates: Rates,
     board: Arc<Board>,
     outbox: Outbox,
@@ -36,7 +36,7 @@
     links: BTreeMap<LinkId, mpsc::Sender<GrantTokens>>,
 }
 
-impl RateDesk {
+impl RateActor {
     pub(crate) fn new(rates: Rates, board: Arc<Board>, outbox: Outbox, store: LedgerStore) -> Self {
         Self {
             rates,
@@ -65,7 +65,7 @@
         tokio::spawn(async move {
             let reading = store.call(call).await;
             if itself.tell(Read(reading)).await.is_err() {
-                tracing::debug!(event = "rate_desk_gone");
+                tracing::debug!(event = "rate_actor_gone");
             }
         });
     }
@@ -87,7 +87,7 @@
     pub(crate) reply: mpsc::Sender<GrantTokens>,
 }
 
-impl Message<Draw> for RateDesk {
+impl Message<Draw> for RateActor {
     type Reply = ();
 
     async fn handle(&mut self, msg: Draw, ctx: &mut Context<Self, ()>) {
@@ -111,7 +111,7 @@
 #[derive(Debug)]
 pub(crate) struct Disconnect(pub(crate) LinkId);
 
-impl Message<Disconnect> for RateDesk {
+impl Message<Disconnect> for RateActor {
     type Reply = ();
 
     async fn handle(&mut self, msg: Disconnect, ctx: &mut Context<Self, ()>) {
@@ -129,7 +129,7 @@
     pub(crate) body: Bytes,
 }
 
-impl Message<FromPeer> for RateDesk {
+impl Message<FromPeer> for RateActor {
     type Reply = ();
 
     async fn handle(&mut self, msg: FromPeer, ctx: &mut Context<Self, ()>) {
@@ -142,7 +142,7 @@
 #[derive(Debug)]
 struct Read(Option<Reading>);
 
-impl Message<Read> for RateDesk {
+impl Message<Read> for RateActor {
     type Reply = ();
 
     async fn handle(&mut self, msg: Read, ctx: &mut Context<Self, ()>) {
@@ -155,7 +155,7 @@
 #[derive(Debug)]
 pub(crate) struct Tick;
 
-impl Message<Tick> for RateDesk {
+impl Message<Tick> for RateActor {
     type Reply = ();
 
     async fn handle(&mut self, _msg: Tick, ctx: &mut Context<Self, ()>) {
@@ -170,7 +170,7 @@
 #[derive(Debug)]
 pub(crate) struct HandBack;
 
-impl Message<HandBack> for RateDesk {
+impl Message<HandBack> for RateActor {
     type Reply = ();
 
     async fn handle(&mut self, _msg: HandBack, ctx: &mut Context<Self, ()>) {
@@ -183,7 +183,7 @@
 #[derive(Debug)]
 pub(crate) struct Dump;
 
-impl Message<Dump> for RateDesk {
+impl Message<Dump> for RateActor {
     type Reply = Description;
 
     async fn handle(
--- a/crates/steward/src/rates.rs
+++ b/crates/steward/src/rates.rs
@@ -190,9 +190,9 @@
         let mut outputs = Vec::new();
         let names: Vec<AccountName> = self.shares.keys().cloned().collect();
         for name in names {
-            let heir = self.fleet.heir(&name);
-            let found = self.shares.get_mut(&name).zip(heir);
-            let sent = found.map(|(share, heir)| share.leave(heir, &self.fleet, now));
+            let successor = self.fleet.successor(&name);
+            let found = self.shares.get_mut(&name).zip(successor);
+            let sent = found.map(|(share, successor)| share.leave(successor, &self.fleet, now));
             outputs.extend(wrap(&name, sent.unwrap_or_default()));
         }
         outputs
--- a/crates/steward/src/rates/fleet.rs
+++ b/crates/steward/src/rates/fleet.rs
@@ -88,7 +88,7 @@
     }
 
     /// Returns the life that is to own what this one gives up.
-    pub(super) fn heir(&self, account: &AccountName) -> Option<HolderId> {
+    pub(super) fn successor(&self, account: &AccountName) -> Option<HolderId> {
         let vm = ranked(self.peers(), account.as_str()).into_iter().next()?;
         let incarnation = self.lives.get(&vm)?;
         Some(HolderId::new(vm, *incarnation))
--- a/crates/steward/src/rates/share.rs
+++ b/crates/steward/src/rates/share.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use mustardbay_policy::escrow::Borrowing;
-use mustardbay_policy::escrow::Deed;
 use mustardbay_policy::escrow::Draw;
 use mustardbay_policy::escrow::GRANT_VALIDITY;
+use mustardbay_policy::escrow::Handover;
 use mustardbay_policy::escrow::Holder;
 use mustardbay_policy::escrow::HolderId;
 use mustardbay_policy::escrow::Ledger;
@@ -70,7 +70,7 @@
     pending: VecDeque<Pending>,
     ledger: Option<(u64, Ledger)>,
     reclaims: BTreeMap<HolderId, Reclaim>,
-    deed: Option<Deed>,
+    handover: Option<Handover>,
     started: Duration,
     refused: u64,
 }
@@ -83,7 +83,7 @@
             pending: VecDeque::new(),
             ledger: None,
             reclaims: BTreeMap::new(),
-            deed: None,
+            handover: None,
             started: now,
             refused: 0,
         }
@@ -147,12 +147,12 @@
                 self.holder.on_return(from, back, now);
                 self.serve_pending(now)
             }
-            Message::Deed(deed) => {
-                let taken = self.holder.on_deed(&deed, now);
-                taken.map_or_else(Vec::new, |owners| reply(Message::DeedTaken(owners)))
+            Message::Handover(handover) => {
+                let taken = self.holder.on_handover(&handover, now);
+                taken.map_or_else(Vec::new, |owners| reply(Message::HandoverTaken(owners)))
             }
-            Message::DeedTaken(_) => {
-                self.deed = None;
+            Message::HandoverTaken(_) => {
+                self.handover = None;
                 Vec::new()
             }
             Message::Fence(owner) => {
@@ -169,16 +169,16 @@
         }
     }
 
-    /// Brings the share up to date, refuses draws whose peers are silent, repeats a deed.
+    /// Brings the share up to date, refuses draws whose peers are silent, repeats a handover.
     pub(super) fn tick(&mut self, fleet: &Fleet, now: Duration) -> Vec<ShareOutput> {
         self.holder.advance(now);
         let mut outputs = self.serve_pending(now);
         if let Some(pending) = self.pending.front() {
             outputs.extend(self.ask(pending.wanted, fleet, now));
         }
-        if let Some(deed) = &self.deed {
-            let to = deed.heir.vm.clone();
-            outputs.push(ShareOutput::Peer(to, Message::Deed(deed.clone())));
+        if let Some(handover) = &self.handover {
+            let to = handover.successor.vm.clone();
+            outputs.push(ShareOutput::Peer(to, Message::Handover(handover.clone())));
         }
         outputs
     }
@@ -186,12 +186,12 @@
     /// Gives up every owned part.
     pub(super) fn leave(
         &mut self,
-        heir: HolderId,
+        successor: HolderId,
         fleet: &Fleet,
         now: Duration,
     ) -> Vec<ShareOutput> {
-        if let Some(deed) = self.holder.leave(heir, now) {
-            self.deed = Some(deed);
+        if let Some(handover) = self.holder.leave(successor, now) {
+            self.handover = Some(handover);
         }
         self.tick(fleet, now)
     }
--- a/crates/steward/src/rates/share/ownership.rs
+++ b/crates/steward/src/rates/share/ownership.rs
@@ -1,4 +1,4 @@
-//! Owned parts of a share: ledger, deeds and reclaims.
+//! Owned parts of a share: ledger, handovers and reclaims.
 
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 use super::ShareOutput;
 use crate::rates::fleet::Fleet;
 
-/// Time between reads while parts, a deed or a ledger wait for the platform.
+/// Time between reads while parts, a handover or a ledger wait for the platform.
 const SOON: Duration = Duration::from_secs(1);
 /// Time between reads while an owner is not heard.
 const WATCHFUL: Duration = Duration::from_secs(3);
@@ -34,9 +34,9 @@
         let confirmed = fleet.lists_self().then_some(asked);
         self.holder.on_ledger(&ledger, confirmed, now);
         self.ledger = Some((revision, ledger.clone()));
-        let deeds = self.holder.unregistered();
-        if !deeds.is_empty() {
-            return self.move_to_self(&deeds, revision, &ledger);
+        let handovers = self.holder.unregistered();
+        if !handovers.is_empty() {
+            return self.move_to_self(&handovers, revision, &ledger);
         }
         self.reclaim(account, revision, &ledger, fleet, now)
     }
--- a/crates/steward/src/start.rs
+++ b/crates/steward/src/start.rs
@@ -26,7 +26,7 @@
 use crate::parts::Parts;
 use crate::peers;
 use crate::peers::accept;
-use crate::rate_desk;
+use crate::rate_actor;
 use crate::settings::StewardSettings;
 
 /// Time between two ticks of the group monitors.
@@ -151,7 +151,7 @@
     let admin = bound("admin", &settings.admin, admin.serve(&settings.admin).await)?;
 
     drive(&timer, GROUP_TICK, parts.groups.clone(), || groups::Tick);
-    drive(&timer, RATE_TICK, parts.desk.clone(), || rate_desk::Tick);
+    drive(&timer, RATE_TICK, parts.desk.clone(), || rate_actor::Tick);
     drive(&timer, PEER_TICK, peers.clone(), || peers::Tick);
     drive(&timer, BUNDLE_TICK, parts.bundles.clone(), || bundles::Tick);
     drive(&timer, DIRECTORY_TICK, parts.directory.clone(), || {
--- a/crates/wire/src/rates.rs
+++ b/crates/wire/src/rates.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mustardbay_policy::escrow::Ask;
-use mustardbay_policy::escrow::Deed;
+use mustardbay_policy::escrow::Handover;
 use mustardbay_policy::escrow::HolderId;
 use mustardbay_policy::escrow::LedgerEntry;
 use mustardbay_policy::escrow::Loan;
@@ -40,11 +40,11 @@
         Return(super::WireReturn),
         /// Gives ledger entries for good.
         #[prost(message, tag = "5")]
-        Deed(super::WireDeed),
-        /// Confirms a deed.
+        Handover(super::WireHandover),
+        /// Confirms a handover.
         #[prost(message, tag = "6")]
-        DeedTaken(super::WireOwners),
-        /// Forbids deeds of an owner.
+        HandoverTaken(super::WireOwners),
+        /// Forbids handovers of an owner.
         #[prost(message, tag = "7")]
         Fence(super::WireHolder),
         /// Answers a fence.
@@ -125,10 +125,10 @@
 
 /// Entries that an owner gives to one life of a peer.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct WireDeed {
+pub struct WireHandover {
     /// Life that may take them.
     #[prost(message, required, tag = "1")]
-    pub heir: WireHolder,
+    pub successor: WireHolder,
     /// Entries.
     #[prost(message, repeated, tag = "2")]
     pub entries: Vec<WireEntry>,
@@ -143,7 +143,7 @@
     pub lent_for_us: u64,
 }
 
-/// Owners whose deed has arrived.
+/// Owners whose handover has arrived.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct WireOwners {
     /// The owners.
@@ -198,8 +198,8 @@
                 loan: back.loan,
                 tokens: back.tokens,
             }),
-            Message::Deed(deed) => Self::Deed(deed.into()),
-            Message::DeedTaken(owners) => Self::DeedTaken(WireOwners {
+            Message::Handover(handover) => Self::Handover(handover.into()),
+            Message::HandoverTaken(owners) => Self::HandoverTaken(WireOwners {
                 owners: owners.into_iter().map(WireHolder::from).collect(),
             }),
             Message::Fence(owner) => Self::Fence(owner.into()),
@@ -231,9 +231,9 @@
                 loan: back.loan,
                 tokens: back.tokens,
             }),
-            Body::Deed(deed) => Self::Deed(deed.into()),
-            Body::DeedTaken(taken) => {
-                Self::DeedTaken(taken.owners.into_iter().map(HolderId::from).collect())
+            Body::Handover(handover) => Self::Handover(handover.into()),
+            Body::HandoverTaken(taken) => {
+                Self::HandoverTaken(taken.owners.into_iter().map(HolderId::from).collect())
             }
             Body::Fence(owner) => Self::Fence(owner.into()),
             Body::Fenced(fenced) => Self::Fenced {
@@ -259,34 +259,34 @@
     }
 }
 
-impl From<Deed> for WireDeed {
-    fn from(deed: Deed) -> Self {
-        let entries = deed.entries.into_iter().map(|e| WireEntry {
+impl From<Handover> for WireHandover {
+    fn from(handover: Handover) -> Self {
+        let entries = handover.entries.into_iter().map(|e| WireEntry {
             owner: e.owner.into(),
             parts: e.parts.0,
         });
         Self {
-            heir: deed.heir.into(),
+            successor: handover.successor.into(),
             entries: entries.collect(),
-            lent_rate: deed.lent_rate.0,
-            lent_burst: deed.lent_burst.0,
-            lent_for_us: u64::try_from(deed.lent_for.as_micros()).unwrap_or(u64::MAX),
+            lent_rate: handover.lent_rate.0,
+            lent_burst: handover.lent_burst.0,
+            lent_for_us: u64::try_from(handover.lent_for.as_micros()).unwrap_or(u64::MAX),
         }
     }
 }
 
-impl From<WireDeed> for Deed {
-    fn from(deed: WireDeed) -> Self {
-        let entries = deed.entries.into_iter().map(|e| LedgerEntry {
+impl From<WireHandover> for Handover {
+    fn from(handover: WireHandover) -> Self {
+        let entries = handover.entries.into_iter().map(|e| LedgerEntry {
             owner: e.owner.into(),
             parts: Parts(e.parts),
         });
         Self {
-            heir: deed.heir.into(),
+            successor: handover.successor.into(),
             entries: entries.collect(),
-            lent_rate: Parts(deed.lent_rate),
-            lent_burst: Parts(deed.lent_burst),
-            lent_for: Duration::from_micros(deed.lent_for_us.saturating_add(1)),
+            lent_rate: Parts(handover.lent_rate),
+            lent_burst: Parts(handover.lent_burst),
+            lent_for: Duration::from_micros(handover.lent_for_us.saturating_add(1)),
         }
     }
 }
--- a/crates/wire/tests/rates.rs
+++ b/crates/wire/tests/rates.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mustardbay_policy::escrow::Ask;
-use mustardbay_policy::escrow::Deed;
+use mustardbay_policy::escrow::Handover;
 use mustardbay_policy::escrow::HolderId;
 use mustardbay_policy::escrow::LedgerEntry;
 use mustardbay_policy::escrow::Loan;
@@ -18,9 +18,9 @@
     HolderId::new("vm1", 1 << 60)
 }
 
-fn deed() -> Deed {
-    Deed {
-        heir: HolderId::new("vm2", 5),
+fn handover() -> Handover {
+    Handover {
+        successor: HolderId::new("vm2", 5),
         entries: vec![LedgerEntry {
             owner: owner(),
             parts: Parts(250_000),
@@ -34,7 +34,7 @@
 #[test_case(Message::Ask(Ask { request: 1, tokens: 2, demand: 3, held: Parts(4) }); "ask")]
 #[test_case(Message::Loan(Loan { request: 1, loan: 2, rate: Parts(3), burst: Parts(4), tokens: 5 }); "loan")]
 #[test_case(Message::Return(Return { loan: 1, tokens: 2 }); "early return")]
-#[test_case(Message::DeedTaken(vec![owner()]); "deed taken")]
+#[test_case(Message::HandoverTaken(vec![owner()]); "handover taken")]
 #[test_case(Message::Fence(owner()); "fence")]
 #[test_case(Message::Fenced { owner: owner(), keep: true }; "fenced")]
 fn message_round_trip(message: Message) {
@@ -45,12 +45,12 @@
 }
 
 #[test]
-fn deed_time_rounds_up() {
-    let bytes = RatesMessage::new("editors", Message::Deed(deed())).encode_to_vec();
+fn handover_time_rounds_up() {
+    let bytes = RatesMessage::new("editors", Message::Handover(handover())).encode_to_vec();
     let decoded = RatesMessage::decode(bytes.as_slice()).expect("message decodes");
-    let Some(Message::Deed(found)) = decoded.message() else {
-        panic!("not a deed");
+    let Some(Message::Handover(found)) = decoded.message() else {
+        panic!("not a handover");
     };
-    assert!(found.lent_for > deed().lent_for);
-    assert_eq!(found.entries, deed().entries);
+    assert!(found.lent_for > handover().lent_for);
+    assert_eq!(found.entries, handover().entries);
 }
