--- a/crates/pool/src/upkeep.rs
+++ b/crates/pool/src/upkeep.rs
@@ -17,11 +17,11 @@
 
 /// Actor that looks after the served upstreams.
 #[derive(Debug)]
-pub(crate) struct Upkeep {
+pub(crate) struct UpkeepActor {
     pool: Pool,
 }
 
-impl Actor for Upkeep {
+impl Actor for UpkeepActor {
     type Args = Pool;
     type Error = Infallible;
 
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 struct Upkeep;
 
-impl Message<Upkeep> for Upkeep {
+impl Message<Upkeep> for UpkeepActor {
     type Reply = ();
 
     async fn handle(&mut self, _msg: Upkeep, _ctx: &mut Context<Self, ()>) {
@@ -49,7 +49,7 @@
 pub(crate) fn start(pool: Pool, timer: &Timer) {
     let mut changes = pool.changes();
     let mut ticks = timer.every(UPKEEP_PERIOD);
-    let upkeep = Upkeep::spawn(pool);
+    let upkeep = UpkeepActor::spawn(pool);
     tokio::spawn(async move {
         loop {
             tokio::select! {
