Draw tokens ahead for slow accounts again

Reverts the draw without tokens ahead. The cause that small accounts are refused stands: a burst of 10 tokens is spread over seven vms.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -73,7 +73,8 @@
         self.drop_expired(now);
         self.asked += 1;
         if self.spend() {
-            return (Admission::Admitted, self.order_ahead(now));
+            let order = (self.held() <= self.low_water).then(|| self.order(now));
+            return (Admission::Admitted, order.flatten());
         }
         let order = self.order(now);
         match (self.draw, self.barren_until) {
@@ -150,20 +151,6 @@
         });
     }
 
-    /// Orders the next draw before the tokens run out.
-    ///
-    /// An account that was granted a single token is slow, and a token drawn ahead would lie here
-    /// while another virtual machine needs it. Its spent token is reported at once instead.
-    fn order_ahead(&mut self, now: Instant) -> Option<DrawOrder> {
-        if self.held() > self.low_water {
-            return None;
-        }
-        if self.low_water == 0 {
-            return self.report(now);
-        }
-        self.order(now)
-    }
-
     /// Orders a draw unless one is under way or is known to be in vain.
     fn order(&mut self, now: Instant) -> Option<DrawOrder> {
         let in_vain = self.barren_until.is_some_and(|until| now < until);
