Show the age of a replica without contact without a panic

Cause: the entry's dump put an unlimited age into JSON as a 128-bit number, which panics, so /state broke off once a session had used a group with such a replica. Change: whole milliseconds, at most 64 bits.

--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -1,5 +1,6 @@
 //! Dump of the process's state for operators; holds no keys.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use serde_json::Map;
@@ -41,7 +42,7 @@
                 "route": handle.login.route,
                 "account": identity.map(|i| &i.account),
                 "key": identity.map(|i| &i.key),
-                "open_ms": handle.opened.elapsed().as_millis(),
+                "open_ms": millis(handle.opened.elapsed()),
                 "busy": handle.is_busy(),
             })
         })
@@ -79,7 +80,7 @@
         for (upstream, seen) in sight.positions.iter() {
             let shown = json!({
                 "applied": seen.applied.to_string(),
-                "age_ms": seen.age_at(now).as_millis(),
+                "age_ms": millis(seen.age_at(now)),
                 "load": sight.load(upstream),
             });
             upstreams.insert(upstream.to_string(), shown);
@@ -88,3 +89,8 @@
     }
     Value::Object(groups)
 }
+
+/// Returns whole milliseconds; the age of a replica that never had contact does not fit JSON.
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
