Keep a floor of tokens from being lent

Cause (by reading): a holder kept an eighth of its rate and burst but lent all of its tokens, so that an idle entry's next caller was refused with 53400 for as long as one token takes to come. Ruled out: silent peers, since refusals came with the short pause of answered rounds. Change: the floor's tokens stay.

--- a/crates/policy/src/escrow/holder/lending.rs
+++ b/crates/policy/src/escrow/holder/lending.rs
@@ -129,7 +129,10 @@
         if demand >= income {
             return 0;
         }
-        scaled(self.bucket.tokens(), ask.demand, demand + ask.demand)
+        // Without a floor of tokens an idle holder that has just lent refuses its next caller.
+        let floor = self.usable().scaled(1, FLOOR_DIVISOR).of(self.burst);
+        let spare = self.bucket.tokens().saturating_sub(floor);
+        scaled(spare, ask.demand, demand + ask.demand)
     }
 
     /// Returns the tokens wanted here a second, in thousandths, and a reserve at least.
