Lend at least one whole token to a holder that is short

Cause: tokens are lent in proportion to demand, and a busy lender with 115 spare tokens lent 0.55 of one to an entry's first caller, which serves nobody: refused with 53400 within the rate. Change: at least a whole token if one is spare.

--- a/crates/policy/src/escrow/holder/lending.rs
+++ b/crates/policy/src/escrow/holder/lending.rs
@@ -132,7 +132,8 @@
         // Without a floor of tokens an idle holder that has just lent refuses its next caller.
         let floor = self.usable().scaled(1, FLOOR_DIVISOR).of(self.burst);
         let spare = self.bucket.tokens().saturating_sub(floor);
-        scaled(spare, ask.demand, demand + ask.demand)
+        // A fraction of a token serves nobody, however small the borrower's part is.
+        scaled(spare, ask.demand, demand + ask.demand).max(spare.min(TOKEN))
     }
 
     /// Returns the tokens wanted here a second, in thousandths, and a reserve at least.
--- a/crates/policy/tests/escrow.rs
+++ b/crates/policy/tests/escrow.rs
@@ -391,3 +391,22 @@
     );
     assert_eq!(after.tokens + loan.tokens, before);
 }
+
+/// A lender that is far busier than the borrower, and has tokens to spare.
+#[test]
+fn loan_holds_a_whole_token() {
+    let id = HolderId::new("vm0", 1);
+    let ledger = Ledger::create(std::slice::from_ref(&id), 0);
+    let mut lender = Holder::new(id, 1_000 * TOKEN, 1_000 * TOKEN, Duration::ZERO);
+    lender.on_ledger(&ledger, None, Duration::ZERO);
+    lender.draw(1, 200, 0, Duration::ZERO);
+    let ask = Ask {
+        request: 1,
+        tokens: TOKEN,
+        demand: 100,
+        held: Parts::NONE,
+    };
+    let (_, loan) = lender.on_ask(&VmName::from("vm1"), ask, Duration::ZERO);
+    assert_eq!(loan.tokens, TOKEN);
+    assert!(loan.burst.of(1_000 * TOKEN) >= TOKEN, "{loan:?}");
+}
