Give a loan from a full bucket room for its tokens

Cause: burst parts were rounded down on the lender's side and up on the borrower's, so that a full bucket of 60 lent one token with room for 0.99996, and the borrower could not serve its caller. Change: the lender gives up one more part, and with it at most as many tokens as that part holds.

--- a/crates/policy/src/escrow/holder/lending.rs
+++ b/crates/policy/src/escrow/holder/lending.rs
@@ -213,7 +213,10 @@
         let wanted = Parts::holding(tokens, self.burst).max(rate);
         let lent = self.lent.iter().map(|l| l.burst).sum();
         let own = self.lendable().minus(lent);
-        let occupied = self.granted() + self.bucket.tokens().saturating_sub(tokens);
+        // A full bucket gives up one part, or rounding would leave the loan short of its tokens.
+        let rounding = Parts(1).of(self.burst) + 1;
+        let kept = self.bucket.tokens().saturating_sub(tokens);
+        let occupied = self.granted() + kept.saturating_sub(rounding);
         let free = self
             .burst_parts()
             .minus(Parts::holding(occupied, self.burst));
