--- a/crates/steward/src/rates/share.rs
+++ b/crates/steward/src/rates/share.rs
@@ -60,6 +60,8 @@
     request: u64,
     wanted: u64,
     until: Duration,
+    /// Whether a round of questions has begun since it arrived.
+    asked: bool,
 }
 
 /// Share of one account and what is under way about it.
@@ -101,17 +103,19 @@
         fleet: &Fleet,
         now: Duration,
     ) -> Vec<ShareOutput> {
-        let pending = Pending {
+        let mut pending = Pending {
             link,
             request: draw.request,
             wanted: draw.wanted,
             until: self.patience(now),
+            asked: false,
         };
         let drawn = self.holder.draw(link.0, draw.wanted, draw.spent, now);
         if draw.wanted == 0 || matches!(drawn, Draw::Granted(_)) {
             return vec![self.answer(pending, drawn, now)];
         }
         let mut outputs = self.ask(draw.wanted, fleet, now);
+        pending.asked = !outputs.is_empty();
         if self.borrowing.is_waiting(now) || now < pending.until {
             self.pending.push_back(pending);
         } else {
@@ -142,10 +146,10 @@
                     .map(|m| ShareOutput::Peer(from.clone(), m))
                     .collect()
             }
-            Message::Loan(loan) => self.on_loan(from, loan, now),
+            Message::Loan(loan) => self.on_loan(from, loan, fleet, now),
             Message::Return(back) => {
                 self.holder.on_return(from, back, now);
-                self.serve_pending(now)
+                self.serve_pending(fleet, now)
             }
             Message::Handover(handover) => {
                 let taken = self.holder.on_handover(&handover, now);
@@ -172,7 +176,7 @@
     /// Brings the share up to date, refuses draws whose peers are silent, repeats a handover.
     pub(super) fn tick(&mut self, fleet: &Fleet, now: Duration) -> Vec<ShareOutput> {
         self.holder.advance(now);
-        let mut outputs = self.serve_pending(now);
+        let mut outputs = self.serve_pending(fleet, now);
         if let Some(pending) = self.pending.front() {
             outputs.extend(self.ask(pending.wanted, fleet, now));
         }
@@ -223,19 +227,32 @@
             .collect()
     }
 
-    fn on_loan(&mut self, from: &VmName, loan: Loan, now: Duration) -> Vec<ShareOutput> {
+    fn on_loan(
+        &mut self,
+        from: &VmName,
+        loan: Loan,
+        fleet: &Fleet,
+        now: Duration,
+    ) -> Vec<ShareOutput> {
         self.holder.on_loan(from, loan, now);
         let gained = loan.rate > Parts::NONE || loan.tokens > 0;
         self.borrowing.on_answer(from, gained, now);
-        self.serve_pending(now)
+        self.serve_pending(fleet, now)
     }
 
     /// Grants waiting draws in order; refuses the rest once no answer is awaited any more.
-    fn serve_pending(&mut self, now: Duration) -> Vec<ShareOutput> {
+    ///
+    /// A draw that arrived during a round gets a round of its own before it is refused, since
+    /// peers that had answered by then were not asked for it.
+    fn serve_pending(&mut self, fleet: &Fleet, now: Duration) -> Vec<ShareOutput> {
         let mut outputs = Vec::new();
         while let Some(pending) = self.pending.front().copied() {
             let drawn = self.holder.redraw(pending.link.0, pending.wanted, now);
             let granted = matches!(drawn, Draw::Granted(_));
+            if !granted && !pending.asked && !self.borrowing.is_waiting(now) {
+                outputs.extend(self.ask(pending.wanted, fleet, now));
+                self.pending.iter_mut().for_each(|p| p.asked = true);
+            }
             if !granted && (self.borrowing.is_waiting(now) || now < pending.until) {
                 break;
             }
--- a/crates/steward/tests/rates.rs
+++ b/crates/steward/tests/rates.rs
@@ -193,6 +193,24 @@
         })
     }
 
+    /// Draws one token and returns the questions to peers, which stay undelivered.
+    fn asked(&mut self, vm: &VmName, spent: u64) -> BTreeMap<VmName, Bytes> {
+        let draw = DrawTokens {
+            request: 7,
+            account: "editors".to_owned(),
+            wanted: 1,
+            spent,
+        };
+        let now = self.now;
+        let rates = self.rates.get_mut(vm).expect("steward runs");
+        let outputs = rates.on_draw(LINK, draw, now).into_iter();
+        let questions = outputs.filter_map(|output| match output {
+            RatesOutput::Peer(to, body) => Some((to, body)),
+            _ => None,
+        });
+        questions.collect()
+    }
+
     fn ledger(&self) -> &Ledger {
         &self.ledgers[&AccountName::from("editors")].1
     }
@@ -327,3 +345,29 @@
     stewards.run(Duration::from_mins(3));
     assert!(stewards.draw("vm0", 5, 0) > 0);
 }
+
+/// A draw that arrives while an earlier round still waits for one peer.
+#[test]
+fn draw_during_a_round_is_asked_for() {
+    let mut stewards = Stewards::start(1);
+    stewards.run(Duration::from_secs(3));
+    stewards.add("vm1", 1);
+    stewards.add("vm2", 1);
+    stewards.run(TICK * 3);
+    let (vm0, vm1, vm2) = (
+        VmName::from("vm0"),
+        VmName::from("vm1"),
+        VmName::from("vm2"),
+    );
+    let first = stewards.asked(&vm1, 0);
+    let lent = stewards.deliver(&vm1, &vm0, &first[&vm0]);
+    stewards.act(&vm0, |_| lent);
+    assert_eq!(stewards.granted, 1);
+    assert!(
+        stewards.asked(&vm1, 1).is_empty(),
+        "the first round is still open"
+    );
+    let empty = stewards.deliver(&vm1, &vm2, &first[&vm2]);
+    stewards.act(&vm2, |_| empty);
+    assert_eq!(stewards.granted, 2);
+}
