--- /dev/null
+++ b/crates/proxy/src/clock.rs
@@ -0,0 +1,68 @@
+//! Clock that goes on while the machine is suspended.
+
+use std::fmt;
+use std::time::Duration;
+
+use nix::time::ClockId;
+use nix::time::clock_gettime;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Reading of the boot clock, as the time since the machine booted.
+///
+/// Ages, leases and deadlines are measured with it, because the monotonic clock stands still in a
+/// suspension and the time of day may jump.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Moment(Duration);
+
+impl Moment {
+    /// Reads the clock.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system has no boot clock.
+    #[must_use]
+    pub fn now() -> Self {
+        let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has a boot clock");
+        Self(Duration::from(time))
+    }
+
+    /// Creates the moment that lies `since` after boot.
+    #[must_use]
+    pub fn from_boot(since: Duration) -> Self {
+        Self(since)
+    }
+
+    /// Returns the time since boot.
+    #[must_use]
+    pub fn since_boot(self) -> Duration {
+        self.0
+    }
+
+    /// Returns the time since an earlier moment, zero if it is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Returns the moment `later` after this one.
+    #[must_use]
+    pub fn after(self, later: Duration) -> Self {
+        Self(self.0.saturating_add(later))
+    }
+
+    /// Returns the moment `earlier` before this one, at most back to boot.
+    #[must_use]
+    pub fn before(self, earlier: Duration) -> Self {
+        Self(self.0.saturating_sub(earlier))
+    }
+}
+
+impl fmt::Display for Moment {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3}", self.0.as_secs_f64())
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/desk.rs
@@ -0,0 +1,217 @@
+//! Takes what entries ask, of this vm and of others, to the pool or the rates that answer it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::GroupName;
+use tokio::sync::mpsc;
+
+use crate::board::Board;
+use crate::clock::Moment;
+use crate::link::Ask;
+use crate::link::AskBody;
+use crate::link::Reply;
+use crate::link::ReplyBody;
+use crate::link::frame::Drawn;
+use crate::link::frame::Ping;
+use crate::link::frame::Reached;
+use crate::link::frame::Surveyed;
+use crate::pool::Cause;
+use crate::pool::Input;
+use crate::pool::Refusal;
+use crate::pool::TicketId;
+use crate::rates::Authority;
+use crate::socket;
+
+/// Longest wait for an upstream that another vm asks about.
+const REACH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pause that a session is asked to make when this vm does not know its group.
+const UNKNOWN_GROUP_PAUSE_MS: u32 = 200;
+
+/// Way to the pool of a group.
+pub type PoolInbox = mpsc::UnboundedSender<Input>;
+
+/// Everything that links can ask of this vm.
+#[derive(Debug)]
+pub struct Desk {
+    board: Arc<Board>,
+    pools: Mutex<BTreeMap<GroupName, PoolInbox>>,
+    links: Mutex<BTreeMap<u64, mpsc::UnboundedSender<Reply>>>,
+    next_link: AtomicU64,
+    authority: Mutex<Authority>,
+}
+
+impl Desk {
+    /// Creates a desk without pools.
+    #[must_use]
+    pub fn new(board: Arc<Board>) -> Self {
+        Self {
+            board,
+            pools: Mutex::default(),
+            links: Mutex::default(),
+            next_link: AtomicU64::new(1),
+            authority: Mutex::default(),
+        }
+    }
+
+    /// Notes a link and where its replies go; returns its number.
+    pub fn open_link(&self, replies: mpsc::UnboundedSender<Reply>) -> u64 {
+        let link = self.next_link.fetch_add(1, Ordering::Relaxed);
+        lock(&self.links).insert(link, replies);
+        link
+    }
+
+    /// Forgets a link and gives up every unit that came by it.
+    pub fn close_link(&self, link: u64) {
+        lock(&self.links).remove(&link);
+        for pool in lock(&self.pools).values() {
+            send(pool, Input::LinkClosed(link));
+        }
+    }
+
+    /// Adds the pool of a group.
+    pub fn add_pool(&self, group: GroupName, pool: PoolInbox) {
+        lock(&self.pools).insert(group, pool);
+    }
+
+    /// Sends an input to every pool.
+    pub fn tell_pools(&self, input: &Input) {
+        for pool in lock(&self.pools).values() {
+            send(pool, input.clone());
+        }
+    }
+
+    /// Changes the rates that this vm grants.
+    pub fn authority<T>(&self, change: impl FnOnce(&mut Authority) -> T) -> T {
+        change(&mut lock(&self.authority))
+    }
+
+    /// Sends a reply on a link; one for a link that is gone is dropped.
+    pub fn reply(&self, link: u64, number: u64, body: impl Into<ReplyBody>) {
+        let reply = Reply {
+            number,
+            body: Some(body.into()),
+        };
+        let sent = lock(&self.links)
+            .get(&link)
+            .map(|replies| replies.send(reply));
+        if !matches!(sent, Some(Ok(()))) {
+            tracing::debug!(event = "reply_dropped", link, number);
+        }
+    }
+
+    /// Takes in what a link asks.
+    pub fn handle(self: &Arc<Self>, link: u64, ask: Ask) {
+        let number = ask.number;
+        let ticket = TicketId { link, number };
+        let Some(body) = ask.body else {
+            tracing::warn!(event = "ask_unreadable", link, number);
+            return;
+        };
+        match body {
+            AskBody::Offer(unit) => {
+                let group = GroupName::from(unit.group.as_str());
+                let input = Input::Offer(ticket, Box::new(unit));
+                self.to_pool(&group, ticket, input);
+            }
+            AskBody::Continue(next) => {
+                let group = GroupName::from(next.group.as_str());
+                let input = Input::Continue {
+                    ticket,
+                    statement: next.statement,
+                    settings: next.settings,
+                    left: Duration::from_millis(next.left_ms.into()),
+                };
+                self.to_pool(&group, ticket, input);
+            }
+            AskBody::Release(release) => {
+                let group = GroupName::from(release.group.as_str());
+                if let Some(pool) = lock(&self.pools).get(&group) {
+                    send(pool, Input::Release(ticket));
+                }
+            }
+            AskBody::Draw(draw) => {
+                let drawn = self.draw(&AccountName::from(draw.account.as_str()), draw.want);
+                self.reply(link, number, ReplyBody::Drawn(drawn));
+            }
+            AskBody::Reach(reach) => self.reach(link, number, &reach.address),
+            AskBody::Survey(_) => {
+                let surveyed = self.surveyed();
+                self.reply(link, number, ReplyBody::Surveyed(surveyed));
+            }
+            AskBody::Ping(_) => self.reply(link, number, ReplyBody::Pong(Ping {})),
+        }
+    }
+
+    fn to_pool(&self, group: &GroupName, ticket: TicketId, input: Input) {
+        let pool = lock(&self.pools).get(group).cloned();
+        match pool {
+            Some(pool) => send(&pool, input),
+            None => {
+                let refusal = Refusal::new(Cause::NoUpstream, UNKNOWN_GROUP_PAUSE_MS);
+                self.reply(ticket.link, ticket.number, ReplyBody::Refused(refusal));
+            }
+        }
+    }
+
+    fn draw(&self, account: &AccountName, want: u64) -> Drawn {
+        let grant = lock(&self.authority).grant(account, want, Moment::now());
+        match grant {
+            Some(grant) => Drawn {
+                held: true,
+                amount: grant.amount,
+                retry_ms: u32::try_from(grant.retry.as_millis()).unwrap_or(u32::MAX),
+            },
+            None => Drawn::default(),
+        }
+    }
+
+    /// Tries to reach an address for another vm, without holding up the link.
+    fn reach(self: &Arc<Self>, link: u64, number: u64, address: &str) {
+        let Ok(address) = address.parse::<SocketAddr>() else {
+            tracing::warn!(event = "reach_unreadable", link, address);
+            return;
+        };
+        let desk = Arc::clone(self);
+        tokio::spawn(async move {
+            let reached = socket::connect(address, REACH_TIMEOUT).await.is_ok();
+            let body = ReplyBody::Reached(Reached { reached });
+            desk.reply(link, number, body);
+        });
+    }
+
+    fn surveyed(&self) -> Surveyed {
+        let Some(belief) = self.board.belief() else {
+            return Surveyed::default();
+        };
+        let age = belief.age(Moment::now());
+        match serde_json::to_vec(&belief.survey) {
+            Ok(survey) => Surveyed {
+                age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+                survey,
+            },
+            Err(e) => {
+                tracing::error!(event = "survey_not_encoded", error = %e);
+                Surveyed::default()
+            }
+        }
+    }
+}
+
+/// Sends an input to a pool; a pool that has ended takes nothing more.
+fn send(pool: &PoolInbox, input: Input) {
+    if pool.send(input).is_err() {
+        tracing::debug!(event = "pool_gone");
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/proxy/src/entry.rs
@@ -0,0 +1,52 @@
+//! Callers' side: sessions, admission of their operations, and the way to the pools.
+
+mod admission;
+mod listener;
+mod purses;
+mod router;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardbay_policy::names::VmName;
+use mustardbay_process::lifecycle::Lifecycle;
+
+pub use admission::Admitted;
+pub use admission::Denial;
+pub use admission::current;
+pub use admission::look_up;
+pub use listener::serve;
+pub use purses::Purses;
+pub use router::Place;
+pub use router::Router;
+
+use crate::board::Board;
+use crate::meters::Meters;
+
+/// Times that bound what a session may do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EntryBounds {
+    /// Age of the configuration up to which operations are admitted.
+    pub currency: Duration,
+    /// Time from the request to stop to the end of the process.
+    pub grace: Duration,
+}
+
+/// What every session of the process shares.
+#[derive(Debug)]
+pub struct Entry {
+    /// This vm.
+    pub vm: VmName,
+    /// What the vm believes.
+    pub board: Arc<Board>,
+    /// Way to the pools.
+    pub router: Router,
+    /// Tokens of the accounts.
+    pub purses: Arc<Purses>,
+    /// Life of the process.
+    pub life: Lifecycle,
+    /// Instruments.
+    pub meters: Arc<Meters>,
+    /// Bounds of the sessions.
+    pub bounds: EntryBounds,
+}
--- /dev/null
+++ b/crates/proxy/src/entry/admission.rs
@@ -0,0 +1,122 @@
+//! Whether an operation may run, decided from what the vm believes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::RouteName;
+
+use crate::board::Belief;
+use crate::clock::Moment;
+use crate::configuration::Account;
+use crate::configuration::Key;
+use crate::configuration::Route;
+use crate::pool::Cause;
+use crate::pool::Refusal;
+use crate::work::Code;
+
+/// Pause that a session is asked to make while the configuration cannot be confirmed.
+const NOT_CURRENT_PAUSE_MS: u32 = 1_000;
+/// Account that upstreams are told for callers without one, on routes open to all.
+pub const NO_ACCOUNT: &str = "public";
+
+/// Operation that the configuration allows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Admitted {
+    /// Route as the configuration had it when the operation began.
+    pub route: Route,
+    /// Account that it runs for.
+    pub account: AccountName,
+    /// Rate of the account; none on a route open to all for a caller without a key.
+    pub rate: Option<Account>,
+}
+
+/// Why an operation is not admitted; it did not run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Denial {
+    /// No route has the name.
+    RouteUnknown,
+    /// The key is not in force.
+    KeyRefused,
+    /// The configuration has not been confirmed for too long, or was never read.
+    NotCurrent(Option<Duration>),
+    /// The account's rate is spent; a token may be had after this many milliseconds.
+    RateSpent(u32),
+}
+
+impl Denial {
+    /// Returns the code that the caller is told.
+    #[must_use]
+    pub fn code(&self) -> Code {
+        match self {
+            Self::RouteUnknown => Code::RouteUnknown,
+            Self::KeyRefused => Code::KeyRefused,
+            Self::NotCurrent(_) | Self::RateSpent(_) => Code::Busy,
+        }
+    }
+
+    /// Returns the text that the caller is told.
+    #[must_use]
+    pub fn text(&self) -> String {
+        match self {
+            Self::RouteUnknown => "no such route".to_owned(),
+            Self::KeyRefused => "key refused".to_owned(),
+            Self::NotCurrent(_) => Refusal::new(Cause::NotCurrent, NOT_CURRENT_PAUSE_MS).text(),
+            Self::RateSpent(retry) => Refusal::new(Cause::RateSpent, *retry).text(),
+        }
+    }
+
+    /// Returns the name that logs and metrics show.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::RouteUnknown => "route_unknown",
+            Self::KeyRefused => "key_refused",
+            Self::NotCurrent(_) => "not_current",
+            Self::RateSpent(_) => "rate_spent",
+        }
+    }
+}
+
+/// Returns the belief, if it is young enough to act on.
+///
+/// # Errors
+///
+/// Fails if there is none, or if a key could have been withdrawn for too long since.
+pub fn current(
+    belief: Option<Arc<Belief>>,
+    currency: Duration,
+    now: Moment,
+) -> Result<Arc<Belief>, Denial> {
+    let belief = belief.ok_or(Denial::NotCurrent(None))?;
+    let age = belief.age(now);
+    if age >= currency {
+        return Err(Denial::NotCurrent(Some(age)));
+    }
+    Ok(belief)
+}
+
+/// Looks up route and account of an operation.
+///
+/// # Errors
+///
+/// Fails if the configuration has no such route, or the key is not in force.
+pub fn look_up(
+    belief: &Belief,
+    route: &RouteName,
+    key: Option<&Key>,
+) -> Result<Admitted, Denial> {
+    let configuration = &belief.survey.configuration;
+    let found = configuration.routes.get(route).ok_or(Denial::RouteUnknown)?;
+    let account = key.and_then(|key| configuration.keys.get(key));
+    let account = match account {
+        Some(account) => account.clone(),
+        None if found.open => AccountName::from(NO_ACCOUNT),
+        None => return Err(Denial::KeyRefused),
+    };
+    Ok(Admitted {
+        route: found.clone(),
+        rate: configuration.accounts.get(&account).copied(),
+        account,
+    })
+}
--- /dev/null
+++ b/crates/proxy/src/group/succession.rs
@@ -0,0 +1,235 @@
+//! Steps from a doubt about a primary to its successor.
+
+use std::time::Duration;
+
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+
+use crate::clock::Moment;
+use crate::group::action::Action;
+use crate::group::action::Event;
+use crate::group::action::FencingToken;
+use crate::pool::Contact;
+
+/// Time for which a primary must have failed before other vms are asked.
+const SUSPECT: Duration = Duration::from_millis(400);
+/// Time without any primary after which one is promoted.
+const MISSING: Duration = Duration::from_millis(800);
+/// Time for statuses to come in before the successor is chosen.
+const SURVEY: Duration = Duration::from_millis(150);
+/// Age beyond which a status does not count in the choice.
+const FRESH: Duration = Duration::from_millis(500);
+/// Time after which a promotion that nobody saw take effect is tried anew.
+const CONFIRM: Duration = Duration::from_millis(3_500);
+/// Pause after a step that failed, or after another vm was found to reach the primary.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// What a succession is doing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Stage {
+    /// It watches the primary.
+    Watching,
+    /// It asked other vms about the primary.
+    Asking,
+    /// It claims the duty.
+    Claiming,
+    /// It waits for statuses.
+    Surveying { since: Moment },
+    /// The call is under way.
+    Calling { chosen: UpstreamName },
+    /// It waits until the chosen upstream leads.
+    Confirming { chosen: UpstreamName, since: Moment },
+}
+
+/// Watch over the primary of one group by the vm that is its home.
+#[derive(Debug)]
+pub struct Succession {
+    stage: Stage,
+    token: Option<FencingToken>,
+    quiet_until: Moment,
+    leaderless: Option<Moment>,
+}
+
+impl Succession {
+    /// Creates a watch that begins now.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            stage: Stage::Watching,
+            token: None,
+            quiet_until: Moment::default(),
+            leaderless: None,
+        }
+    }
+
+    /// Lets time pass, with what is known of the upstreams; returns the next step, if one is due.
+    pub fn tick(
+        &mut self,
+        lead: Option<&UpstreamName>,
+        contacts: &[Contact],
+        now: Moment,
+    ) -> Option<Action> {
+        self.note_lead(lead, contacts, now);
+        match self.stage.clone() {
+            Stage::Watching => self.watch(lead, contacts, now),
+            Stage::Surveying { since } if now.since(since) >= SURVEY => {
+                self.choose(lead, contacts, now)
+            }
+            Stage::Confirming { since, .. } if now.since(since) >= CONFIRM => {
+                self.stage = Stage::Claiming;
+                Some(Action::Claim)
+            }
+            Stage::Asking
+            | Stage::Claiming
+            | Stage::Surveying { .. }
+            | Stage::Calling { .. }
+            | Stage::Confirming { .. } => None,
+        }
+    }
+
+    /// Takes in what became of a step; returns the next step, if one is due.
+    pub fn handle(&mut self, event: Event, now: Moment) -> Option<Action> {
+        match (self.stage.clone(), event) {
+            (Stage::Asking, Event::NobodyReaches) => {
+                self.stage = Stage::Claiming;
+                Some(Action::Claim)
+            }
+            (Stage::Asking, Event::PeerReaches) => {
+                self.rest(now);
+                None
+            }
+            (Stage::Claiming, Event::Claimed(token)) => {
+                self.token = Some(token);
+                self.stage = Stage::Surveying { since: now };
+                Some(Action::Survey)
+            }
+            (Stage::Claiming, Event::NotClaimed) => {
+                self.rest(now);
+                None
+            }
+            (Stage::Calling { chosen }, Event::Accepted | Event::Unknown) => {
+                self.stage = Stage::Confirming { chosen, since: now };
+                None
+            }
+            (Stage::Calling { .. }, Event::Refused) => {
+                self.rest(now);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Tells whether a successor is being made.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.stage != Stage::Watching
+    }
+
+    fn rest(&mut self, now: Moment) {
+        self.stage = Stage::Watching;
+        self.quiet_until = now.after(PAUSE);
+    }
+
+    /// Ends a succession whose upstream leads, or whose old primary is back.
+    fn note_lead(&mut self, lead: Option<&UpstreamName>, contacts: &[Contact], now: Moment) {
+        if lead.is_none() {
+            self.leaderless.get_or_insert(now);
+        } else {
+            self.leaderless = None;
+        }
+        let done = match &self.stage {
+            Stage::Confirming { chosen, .. } => lead == Some(chosen),
+            Stage::Asking => lead.is_some_and(|l| !needs_successor(l, contacts)),
+            _ => false,
+        };
+        if done {
+            self.stage = Stage::Watching;
+        }
+    }
+
+    fn watch(
+        &mut self,
+        lead: Option<&UpstreamName>,
+        contacts: &[Contact],
+        now: Moment,
+    ) -> Option<Action> {
+        if now < self.quiet_until {
+            return None;
+        }
+        let Some(lead) = lead else {
+            let since = self.leaderless?;
+            if now.since(since) < MISSING || contacts.is_empty() {
+                return None;
+            }
+            self.stage = Stage::Claiming;
+            return Some(Action::Claim);
+        };
+        let contact = contacts.iter().find(|c| c.registration.name == *lead)?;
+        if contact.registration.draining && has_candidate(lead, contacts) {
+            self.stage = Stage::Claiming;
+            return Some(Action::Claim);
+        }
+        if contact.failing.is_some_and(|failing| failing >= SUSPECT) {
+            self.stage = Stage::Asking;
+            return Some(Action::AskPeers(lead.clone()));
+        }
+        None
+    }
+
+    /// Chooses the upstream that has received most of the log.
+    fn choose(
+        &mut self,
+        lead: Option<&UpstreamName>,
+        contacts: &[Contact],
+        now: Moment,
+    ) -> Option<Action> {
+        let chosen = candidates(lead, contacts)
+            .max_by_key(|(received, draining, _)| (!draining, *received))
+            .map(|(_, _, name)| name);
+        let (Some(chosen), Some(token)) = (chosen, self.token) else {
+            self.rest(now);
+            return None;
+        };
+        self.stage = Stage::Calling {
+            chosen: chosen.clone(),
+        };
+        Some(Action::Promote(chosen, token))
+    }
+}
+
+impl Default for Succession {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn needs_successor(lead: &UpstreamName, contacts: &[Contact]) -> bool {
+    contacts.iter().any(|contact| {
+        contact.registration.name == *lead
+            && (contact.failing.is_some() || contact.registration.draining)
+    })
+}
+
+fn has_candidate(lead: &UpstreamName, contacts: &[Contact]) -> bool {
+    contacts.iter().any(|contact| {
+        contact.registration.name != *lead
+            && !contact.registration.draining
+            && contact.failing.is_none()
+    })
+}
+
+/// Returns the upstreams that could lead: what each has received, whether it leaves, its name.
+fn candidates<'a>(
+    lead: Option<&'a UpstreamName>,
+    contacts: &'a [Contact],
+) -> impl Iterator<Item = (Position, bool, UpstreamName)> + 'a {
+    contacts.iter().filter_map(move |contact| {
+        let name = &contact.registration.name;
+        let (sighting, age) = contact.sighting?;
+        let usable = lead != Some(name) && contact.failing.is_none() && age <= FRESH;
+        usable.then(|| {
+            let draining = contact.registration.draining;
+            (sighting.received, draining, name.clone())
+        })
+    })
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,27 @@
+//! Proxy of one vm, independent of the wire protocol and of the platform.
+//!
+//! Sessions ([`entry`]) admit operations by what the vm believes ([`board`]) and send them to the pool
+//! ([`pool`]) of the vm that is the group's home ([`fleet`]). Decisions are aggregates without I/O;
+//! codecs ([`wire`]) and the platform ([`platform`]) are traits at the edge.
+
+pub mod board;
+pub mod clock;
+pub mod configuration;
+pub mod desk;
+pub mod entry;
+pub mod fleet;
+pub mod group;
+pub mod link;
+pub mod meters;
+pub mod platform;
+pub mod pool;
+pub mod rates;
+pub mod runner;
+pub mod session;
+pub mod settings;
+pub mod socket;
+pub mod survey;
+pub mod tenure;
+pub mod vm;
+pub mod wire;
+pub mod work;
--- /dev/null
+++ b/crates/proxy/src/link.rs
@@ -0,0 +1,14 @@
+//! Links between vms: one TCP connection from an entry to another vm, many requests at a time.
+
+mod client;
+pub(crate) mod frame;
+mod server;
+
+pub use client::Link;
+pub use client::LinkError;
+pub use client::Links;
+pub use frame::Ask;
+pub use frame::AskBody;
+pub use frame::Reply;
+pub use frame::ReplyBody;
+pub use server::serve;
--- /dev/null
+++ b/crates/proxy/src/link/client.rs
@@ -0,0 +1,271 @@
+//! Entry's side of the links to other vms.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::SinkExt;
+use futures::StreamExt;
+use mustardbay_policy::names::VmName;
+use mustardbay_wire::framed;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::link::frame::Ask;
+use crate::link::frame::AskBody;
+use crate::link::frame::Ping;
+use crate::link::frame::Reply;
+use crate::link::frame::ReplyBody;
+use crate::socket;
+
+/// Longest wait for a link to open: a few round trips between failure domains.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time between two checks of a link.
+const CHECK_EVERY: Duration = Duration::from_millis(250);
+/// Silence of a link, with something asked, after which it is given up.
+const SILENCE: Duration = Duration::from_millis(750);
+/// Silence of a link with nothing asked after which it is pinged.
+const QUIET: Duration = Duration::from_secs(2);
+/// Time after a failure during which no new link to the same vm is waited for.
+const DOWN: Duration = Duration::from_millis(500);
+
+/// Why a request got no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum LinkError {
+    /// The vm cannot be reached; the request was not sent.
+    #[error("the vm cannot be reached")]
+    NotSent,
+    /// The link broke after the request was sent.
+    #[error("the link broke before the reply")]
+    Lost,
+}
+
+type Pending = Arc<Mutex<HashMap<u64, oneshot::Sender<ReplyBody>>>>;
+
+/// Link to another vm, or to this vm's own pools.
+#[derive(Debug)]
+pub struct Link {
+    asks: mpsc::UnboundedSender<Ask>,
+    pending: Pending,
+    next: AtomicU64,
+    alive: Arc<AtomicBool>,
+}
+
+impl Link {
+    /// Creates a link whose asks are taken from the channel that is returned.
+    ///
+    /// Replies are given to [`Link::resolve`].
+    #[must_use]
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Ask>) {
+        let (asks, taken) = mpsc::unbounded_channel();
+        let link = Self {
+            asks,
+            pending: Pending::default(),
+            next: AtomicU64::new(1),
+            alive: Arc::new(AtomicBool::new(true)),
+        };
+        (link, taken)
+    }
+
+    /// Returns a number for a unit or another request.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.next.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Tells whether the link still works, as far as is known.
+    #[must_use]
+    pub fn is_alive(&self) -> bool {
+        self.alive.load(Ordering::Acquire)
+    }
+
+    /// Sends a request under a number and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link is broken, or breaks before the reply.
+    pub async fn call(&self, number: u64, body: AskBody) -> Result<ReplyBody, LinkError> {
+        let (send, reply) = oneshot::channel();
+        lock(&self.pending).insert(number, send);
+        let ask = Ask {
+            number,
+            body: Some(body),
+        };
+        if !self.is_alive() || self.asks.send(ask).is_err() {
+            lock(&self.pending).remove(&number);
+            return Err(LinkError::NotSent);
+        }
+        match reply.await {
+            Ok(body) => Ok(body),
+            Err(oneshot::error::RecvError { .. }) => Err(LinkError::Lost),
+        }
+    }
+
+    /// Sends a request that has no reply; on a broken link it is of no use and dropped.
+    pub fn tell(&self, number: u64, body: AskBody) {
+        lock(&self.pending).remove(&number);
+        let ask = Ask {
+            number,
+            body: Some(body),
+        };
+        if self.asks.send(ask).is_err() {
+            tracing::debug!(event = "link_gone", number);
+        }
+    }
+
+    /// Gives a reply to whoever waits for it.
+    pub fn resolve(&self, reply: Reply) {
+        let Some(body) = reply.body else {
+            return;
+        };
+        let waiting = lock(&self.pending).remove(&reply.number);
+        if let Some(waiting) = waiting
+            && waiting.send(body).is_err()
+        {
+            tracing::debug!(event = "reply_unwanted", number = reply.number);
+        }
+    }
+
+    /// Ends the link: every request without a reply is lost.
+    fn end(&self) {
+        self.alive.store(false, Ordering::Release);
+        lock(&self.pending).clear();
+    }
+
+    fn is_waiting(&self) -> bool {
+        !lock(&self.pending).is_empty()
+    }
+}
+
+/// Links of this vm by the name of the other.
+#[derive(Debug)]
+pub struct Links {
+    me: VmName,
+    own: Arc<Link>,
+    others: Mutex<BTreeMap<VmName, Entry>>,
+}
+
+/// State of the link to one vm.
+#[derive(Debug, Clone)]
+enum Entry {
+    Open(SocketAddr, Arc<Link>),
+    Down(SocketAddr, Instant),
+}
+
+impl Links {
+    /// Creates the links of a vm; `own` leads to its own pools.
+    #[must_use]
+    pub fn new(me: VmName, own: Arc<Link>) -> Self {
+        Self {
+            me,
+            own,
+            others: Mutex::default(),
+        }
+    }
+
+    /// Returns the link to this vm's own pools.
+    #[must_use]
+    pub fn own(&self) -> Arc<Link> {
+        Arc::clone(&self.own)
+    }
+
+    /// Returns the link to a vm, opening it if there is none; nothing while the vm is down.
+    pub async fn to(&self, vm: &VmName, address: SocketAddr) -> Option<Arc<Link>> {
+        if *vm == self.me {
+            return Some(self.own());
+        }
+        let known = lock(&self.others).get(vm).cloned();
+        match known {
+            Some(Entry::Open(at, link)) if at == address && link.is_alive() => return Some(link),
+            Some(Entry::Down(at, since)) if at == address && since.elapsed() < DOWN => {
+                return None;
+            }
+            _ => {}
+        }
+        // Others that ask meanwhile do not wait for the same attempt.
+        self.note(vm, Entry::Down(address, Instant::now()));
+        match connect(address).await {
+            Ok(link) => {
+                tracing::info!(event = "link_open", vm = %vm);
+                self.note(vm, Entry::Open(address, Arc::clone(&link)));
+                Some(link)
+            }
+            Err(e) => {
+                tracing::info!(event = "link_failed", vm = %vm, error = %e);
+                self.note(vm, Entry::Down(address, Instant::now()));
+                None
+            }
+        }
+    }
+
+    fn note(&self, vm: &VmName, entry: Entry) {
+        lock(&self.others).insert(vm.clone(), entry);
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<Arc<Link>> {
+    let stream = socket::connect(address, CONNECT_TIMEOUT).await?;
+    let (link, asks) = Link::new();
+    let link = Arc::new(link);
+    tokio::spawn(drive(stream, asks, Arc::clone(&link), address));
+    Ok(link)
+}
+
+/// Carries frames until the link breaks or is silent for too long.
+async fn drive(
+    stream: TcpStream,
+    mut asks: mpsc::UnboundedReceiver<Ask>,
+    link: Arc<Link>,
+    address: SocketAddr,
+) {
+    let (mut sink, mut replies) = framed::<_, Ask, Reply>(stream).split();
+    let mut check = tokio::time::interval(CHECK_EVERY);
+    check.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut heard = Instant::now();
+    let mut pinged: Option<Instant> = None;
+    let reason = loop {
+        tokio::select! {
+            ask = asks.recv() => {
+                let Some(ask) = ask else { break "unused" };
+                if sink.feed(ask).await.is_err() { break "write failed" }
+                while let Ok(ask) = asks.try_recv() {
+                    if sink.feed(ask).await.is_err() { break }
+                }
+                if sink.flush().await.is_err() { break "write failed" }
+            }
+            reply = replies.next() => match reply {
+                Some(Ok(reply)) => {
+                    heard = Instant::now();
+                    pinged = None;
+                    link.resolve(reply);
+                }
+                Some(Err(_)) | None => break "closed",
+            },
+            _ = check.tick() => {
+                if pinged.is_some_and(|at| at.elapsed() >= SILENCE) { break "silent" }
+                let patience = if link.is_waiting() { CHECK_EVERY } else { QUIET };
+                if pinged.is_none() && heard.elapsed() >= patience {
+                    pinged = Some(Instant::now());
+                    let ping = Ask { number: 0, body: Some(AskBody::Ping(Ping {})) };
+                    if sink.send(ping).await.is_err() { break "write failed" }
+                }
+            }
+        }
+    };
+    tracing::info!(event = "link_lost", address = %address, reason);
+    link.end();
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/proxy/src/link/frame.rs
@@ -0,0 +1,179 @@
+//! Frames of the link between two vms.
+
+use crate::pool::Outcome;
+use crate::pool::Refusal;
+use crate::work::Answer;
+use crate::work::Setting;
+use crate::work::Statement;
+use crate::work::Unit;
+
+/// Next statement of a transaction.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Continue {
+    /// Group that serves the transaction.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// Number of the unit that began it.
+    #[prost(uint64, tag = "2")]
+    pub unit: u64,
+    /// Statement to run.
+    #[prost(message, required, tag = "3")]
+    pub statement: Statement,
+    /// Values of the session.
+    #[prost(message, repeated, tag = "4")]
+    pub settings: Vec<Setting>,
+    /// Time that is left for the statement, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub left_ms: u32,
+}
+
+/// End of a session's interest in a unit.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Release {
+    /// Group that serves the unit.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// Number of the unit.
+    #[prost(uint64, tag = "2")]
+    pub unit: u64,
+}
+
+/// Request for tokens of an account.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Draw {
+    /// The account.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// Amount wanted, in millionths of a token.
+    #[prost(uint64, tag = "2")]
+    pub want: u64,
+}
+
+/// Question whether a vm reaches an address.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Reach {
+    /// Address, `ip:port`.
+    #[prost(string, tag = "1")]
+    pub address: String,
+}
+
+/// Question for the newest survey.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct AskSurvey {}
+
+/// Check that the link works.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Ping {}
+
+/// Frame from an entry.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ask {
+    /// Number of the request, unique on its link; none expects no reply.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// What is asked.
+    #[prost(oneof = "AskBody", tags = "2, 3, 4, 5, 6, 7, 8")]
+    pub body: Option<AskBody>,
+}
+
+/// What a frame asks.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum AskBody {
+    /// Run a unit.
+    #[prost(message, tag = "2")]
+    Offer(Unit),
+    /// Run the next statement of a transaction.
+    #[prost(message, tag = "3")]
+    Continue(Continue),
+    /// Give a unit up.
+    #[prost(message, tag = "4")]
+    Release(Release),
+    /// Grant tokens.
+    #[prost(message, tag = "5")]
+    Draw(Draw),
+    /// Try to reach an address.
+    #[prost(message, tag = "6")]
+    Reach(Reach),
+    /// Show the newest survey.
+    #[prost(message, tag = "7")]
+    Survey(AskSurvey),
+    /// Answer at once.
+    #[prost(message, tag = "8")]
+    Ping(Ping),
+}
+
+/// Answer to a draw.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Drawn {
+    /// Whether the asked vm is the account's authority.
+    #[prost(bool, tag = "1")]
+    pub held: bool,
+    /// Amount granted, in millionths of a token.
+    #[prost(uint64, tag = "2")]
+    pub amount: u64,
+    /// Time until a token may be had, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub retry_ms: u32,
+}
+
+/// Answer to a question about an address.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Reached {
+    /// Whether a connection could be opened.
+    #[prost(bool, tag = "1")]
+    pub reached: bool,
+}
+
+/// Newest survey of a vm.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Surveyed {
+    /// Time since it was asked for, in milliseconds; at the moment of the reply.
+    #[prost(uint64, tag = "1")]
+    pub age_ms: u64,
+    /// The survey as JSON; empty if there is none.
+    #[prost(bytes = "vec", tag = "2")]
+    pub survey: Vec<u8>,
+}
+
+/// Frame to an entry.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Reply {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The reply.
+    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7")]
+    pub body: Option<ReplyBody>,
+}
+
+/// What a reply says.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum ReplyBody {
+    /// Answer to a statement.
+    #[prost(message, tag = "2")]
+    Answer(Answer),
+    /// The statement did not run.
+    #[prost(message, tag = "3")]
+    Refused(Refusal),
+    /// Tokens, or none.
+    #[prost(message, tag = "4")]
+    Drawn(Drawn),
+    /// Whether an address was reached.
+    #[prost(message, tag = "5")]
+    Reached(Reached),
+    /// Newest survey.
+    #[prost(message, tag = "6")]
+    Surveyed(Surveyed),
+    /// The link works.
+    #[prost(message, tag = "7")]
+    Pong(Ping),
+}
+
+impl From<Outcome> for ReplyBody {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Answered(answer) => Self::Answer(answer),
+            Outcome::Refused(refusal) => Self::Refused(refusal),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/link/server.rs
@@ -0,0 +1,67 @@
+//! Pool's side of the links from other vms.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::SinkExt;
+use futures::StreamExt;
+use mustardbay_wire::framed;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use crate::desk::Desk;
+use crate::link::frame::Ask;
+use crate::link::frame::Reply;
+use crate::socket;
+
+/// Silence after which a link is dropped; its entry pings it every two seconds.
+const SILENCE: Duration = Duration::from_secs(5);
+/// Longest wait for the other side to read.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Takes links and hands what they ask to the desk, until the process ends.
+pub async fn serve(listener: TcpListener, desk: Arc<Desk>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                socket::prepare(&stream);
+                tokio::spawn(carry(stream, Arc::clone(&desk)));
+            }
+            Err(e) => {
+                tracing::warn!(event = "link_accept_failed", error = %e);
+                tokio::time::sleep(socket::ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn carry(stream: TcpStream, desk: Arc<Desk>) {
+    let (mut sink, mut asks) = framed::<_, Reply, Ask>(stream).split();
+    let (replies, mut outgoing) = mpsc::unbounded_channel::<Reply>();
+    let link = desk.open_link(replies);
+    let reason = loop {
+        tokio::select! {
+            ask = tokio::time::timeout(SILENCE, asks.next()) => match ask {
+                Ok(Some(Ok(ask))) => desk.handle(link, ask),
+                Ok(Some(Err(_)) | None) => break "closed",
+                Err(tokio::time::error::Elapsed { .. }) => break "silent",
+            },
+            reply = outgoing.recv() => {
+                let Some(reply) = reply else { break "unused" };
+                let write = async {
+                    sink.feed(reply).await?;
+                    while let Ok(reply) = outgoing.try_recv() {
+                        sink.feed(reply).await?;
+                    }
+                    sink.flush().await
+                };
+                if !matches!(tokio::time::timeout(WRITE_TIMEOUT, write).await, Ok(Ok(()))) {
+                    break "write failed";
+                }
+            }
+        }
+    };
+    tracing::debug!(event = "link_ended", link, reason);
+    desk.close_link(link);
+}
--- /dev/null
+++ b/crates/proxy/src/pool.rs
@@ -0,0 +1,139 @@
+//! Pool of a database group: queue, placement and connections, decided without I/O.
+//!
+//! A [`Pool`] takes in what happens ([`Input`]) and returns what is to be done ([`Output`]). The shell
+//! around it owns the sockets. One vm of the fleet holds nearly all connections of a group and so sees
+//! its whole queue; the others keep a small reserve for the time when that vm cannot be reached.
+
+mod connection;
+mod dispatch;
+mod horizon;
+mod input;
+mod job;
+mod lead;
+mod output;
+mod refusal;
+mod reply;
+mod step;
+mod ticket;
+mod upkeep;
+mod upstream;
+mod view;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::UpstreamName;
+
+use crate::clock::Moment;
+use crate::pool::connection::Connection;
+pub use crate::pool::connection::ConnectionId;
+use crate::pool::horizon::Horizon;
+pub use crate::pool::input::Input;
+pub use crate::pool::input::OpenFailure;
+use crate::pool::job::Job;
+use crate::pool::lead::Lead;
+pub use crate::pool::output::Note;
+pub use crate::pool::output::Output;
+pub use crate::pool::output::Retry;
+pub use crate::pool::refusal::Cause;
+pub use crate::pool::refusal::Outcome;
+pub use crate::pool::refusal::Refusal;
+pub use crate::pool::step::Command;
+pub use crate::pool::step::Query;
+pub use crate::pool::ticket::TicketId;
+pub use crate::pool::upstream::Registration;
+pub use crate::pool::upstream::Role;
+pub use crate::pool::upstream::Sighting;
+use crate::pool::upstream::Upstream;
+pub use crate::pool::view::Contact;
+pub use crate::pool::view::PoolView;
+
+/// Queue, placement and connections of one database group on one vm.
+#[derive(Debug)]
+pub struct Pool {
+    upstreams: BTreeMap<UpstreamName, Upstream>,
+    connections: BTreeMap<ConnectionId, Connection>,
+    jobs: BTreeMap<TicketId, Job>,
+    /// Units that wait, best first: priority, due moment, arrival.
+    waiting: BTreeMap<job::Rank, TicketId>,
+    /// Open transactions whose next statement waits for a slot.
+    held: VecDeque<TicketId>,
+    lead: Lead,
+    horizon: Horizon,
+    /// Connections that this vm may hold at each upstream.
+    share: u32,
+    /// Whether this vm is the group's home and keeps in touch with every upstream.
+    home: bool,
+    retired: bool,
+    /// Account that connections without a caller are opened for.
+    caretaker: Option<AccountName>,
+    /// Mean time that a statement holds a slot.
+    service: Duration,
+    next_connection: u64,
+    next_arrival: u64,
+    out: Vec<Output>,
+}
+
+impl Pool {
+    /// Creates a pool that knows no upstream yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            upstreams: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            held: VecDeque::new(),
+            lead: Lead::default(),
+            horizon: Horizon::default(),
+            share: 0,
+            home: false,
+            retired: false,
+            caretaker: None,
+            service: upkeep::FIRST_SERVICE_TIME,
+            next_connection: 0,
+            next_arrival: 0,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes in what happened and returns what is to be done, in order.
+    pub fn handle(&mut self, input: Input, now: Moment) -> Vec<Output> {
+        match input {
+            Input::Offer(ticket, unit) => self.offer(ticket, *unit, now),
+            Input::Continue {
+                ticket,
+                statement,
+                settings,
+                left,
+            } => self.resume(ticket, statement, settings, now.after(left), now),
+            Input::Release(ticket) => self.release(ticket, now),
+            Input::LinkClosed(link) => self.release_link(link, now),
+            Input::Opened(connection, position) => self.opened(connection, position, now),
+            Input::OpenFailed(connection, failure) => self.open_failed(connection, failure, now),
+            Input::Replied(connection, answer) => self.replied(connection, answer, now),
+            Input::Sighted(connection, sighting, position) => {
+                self.sighted(connection, sighting, position, now);
+            }
+            Input::Lost(connection) => self.lost(connection, now),
+            Input::Upstreams(registrations) => self.register(registrations, now),
+            Input::Share {
+                connections,
+                home,
+                caretaker,
+            } => self.take_share(connections, home, caretaker),
+            Input::Retire => self.retired = true,
+            Input::Tick => self.tick(now),
+        }
+        self.dispatch(now);
+        std::mem::take(&mut self.out)
+    }
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/pool/output.rs
@@ -0,0 +1,72 @@
+//! What a pool decides.
+
+use std::net::SocketAddr;
+
+use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Term;
+
+use crate::pool::connection::ConnectionId;
+use crate::pool::refusal::Outcome;
+use crate::pool::step::Query;
+use crate::pool::ticket::TicketId;
+use crate::work::Code;
+
+/// Output of a pool, to be carried out in order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Open a connection.
+    Open {
+        /// Number of the connection from now on.
+        connection: ConnectionId,
+        /// Upstream that must answer.
+        upstream: UpstreamName,
+        /// Address of the upstream.
+        address: SocketAddr,
+        /// Account that it serves.
+        account: AccountName,
+    },
+    /// Send a query; its answer comes as an input.
+    Send(ConnectionId, Query),
+    /// Close a connection; nothing more is heard of it.
+    Close(ConnectionId),
+    /// Tell a session what became of its statement.
+    Finish(TicketId, Outcome),
+    /// Log what the pool has come to believe or decided.
+    Note(Note),
+}
+
+/// Decision or change of belief that is worth a line in the log.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Note {
+    /// An upstream acted as the primary of a term.
+    LeadProven(UpstreamName, Term),
+    /// The believed primary refused to act as one.
+    LeadLost(UpstreamName),
+    /// An upstream stopped answering.
+    UpstreamLost(UpstreamName),
+    /// An upstream answers again.
+    UpstreamBack(UpstreamName),
+    /// A unit is tried again, at another upstream where there is one.
+    Retried {
+        /// The unit.
+        ticket: TicketId,
+        /// Id of its statement.
+        request: String,
+        /// Upstream that did not run it.
+        upstream: UpstreamName,
+        /// Why.
+        reason: Retry,
+    },
+}
+
+/// Why a unit is tried again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Retry {
+    /// The upstream refused it without running it.
+    Refused(Code),
+    /// The connection broke before anything with a lasting effect was sent.
+    ConnectionLost,
+    /// A read got no answer for too long.
+    Silent,
+}
--- /dev/null
+++ b/crates/proxy/src/pool/reply.rs
@@ -0,0 +1,457 @@
+//! What an answer, or the loss of a connection, means for the unit on it.
+
+use std::time::Duration;
+
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+
+use crate::clock::Moment;
+use crate::pool::Pool;
+use crate::pool::connection::ConnectionId;
+use crate::pool::connection::Stage;
+use crate::pool::dispatch::aborted;
+use crate::pool::input::OpenFailure;
+use crate::pool::job::JobStage;
+use crate::pool::output::Note;
+use crate::pool::output::Output;
+use crate::pool::output::Retry;
+use crate::pool::refusal::Cause;
+use crate::pool::refusal::Outcome;
+use crate::pool::refusal::Refusal;
+use crate::pool::step::Purpose;
+use crate::pool::step::Step;
+use crate::pool::ticket::TicketId;
+use crate::pool::upstream::Role;
+use crate::pool::upstream::Sighting;
+use crate::work::Answer;
+use crate::work::Code;
+use crate::work::TransactionState;
+use crate::work::Verb;
+
+/// Times that a unit is given to an upstream before it is refused.
+const MAX_ATTEMPTS: u32 = 6;
+/// Weight of the newest service time in the mean, as a divisor.
+const SERVICE_WEIGHT: u32 = 32;
+/// Pause that a session is asked to make after its unit was refused by several upstreams.
+const RETRY_PAUSE_MS: u32 = 100;
+
+impl Pool {
+    /// Notes that a connection is open and runs the unit that it was opened for.
+    pub(super) fn opened(&mut self, id: ConnectionId, position: Option<Position>, now: Moment) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let ticket = connection.ticket;
+        let upstream = connection.upstream.clone();
+        self.heard(&upstream, position, now);
+        match ticket {
+            Some(ticket) if self.jobs.contains_key(&ticket) => self.begin_unit(ticket, id, now),
+            Some(_) | None => self.send_next(id, now),
+        }
+    }
+
+    /// Notes that a connection was not opened, and sends its unit elsewhere.
+    pub(super) fn open_failed(&mut self, id: ConnectionId, failure: OpenFailure, now: Moment) {
+        let Some(connection) = self.connections.remove(&id) else {
+            return;
+        };
+        if let Some(upstream) = self.upstreams.get_mut(&connection.upstream) {
+            match failure {
+                OpenFailure::Unreachable => self.fail_upstream(&connection.upstream, now),
+                OpenFailure::TooMany => {
+                    upstream.contact = now;
+                    upstream.full(now);
+                }
+                OpenFailure::Misrouted | OpenFailure::Refused => upstream.failed(now),
+            }
+        }
+        if let Some(ticket) = connection.ticket {
+            let reason = match failure {
+                OpenFailure::TooMany => Retry::Refused(Code::TooMany),
+                OpenFailure::Misrouted => Retry::Refused(Code::Misrouted),
+                OpenFailure::Unreachable | OpenFailure::Refused => Retry::ConnectionLost,
+            };
+            self.retry(ticket, &connection.upstream, reason, now);
+        }
+    }
+
+    /// Notes what an upstream says of itself.
+    pub(super) fn sighted(
+        &mut self,
+        id: ConnectionId,
+        sighting: Option<Sighting>,
+        position: Option<Position>,
+        now: Moment,
+    ) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        connection.steps.pop_front();
+        let asked = connection.since;
+        let name = connection.upstream.clone();
+        self.heard(&name, position, now);
+        if let Some(sighting) = sighting {
+            if let Some(upstream) = self.upstreams.get_mut(&name) {
+                upstream.sighting = Some((sighting, now));
+            }
+            match sighting.role {
+                Role::Primary => {
+                    let at = position.unwrap_or(sighting.received);
+                    self.prove(&name, at.max(sighting.received), asked);
+                }
+                Role::Replica => self.lose_lead(&name, now),
+            }
+        }
+        self.send_next(id, now);
+    }
+
+    /// Takes in the answer to the query in flight.
+    pub(super) fn replied(&mut self, id: ConnectionId, answer: Answer, now: Moment) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let Some(step) = connection.steps.pop_front() else {
+            self.close(id, now);
+            return;
+        };
+        let asked = connection.since;
+        let name = connection.upstream.clone();
+        self.heard(&name, answer.position.map(Position::from), now);
+        match step.purpose {
+            Purpose::Prepare | Purpose::BeginAtLead | Purpose::BeginRead => {
+                self.prepared(id, &step, &answer, asked, now);
+            }
+            Purpose::Run => self.ran(id, answer, asked, now),
+            Purpose::Undo | Purpose::Status => self.undone(id, &answer, now),
+        }
+    }
+
+    /// Goes on with a unit after a query that came before its statement.
+    fn prepared(
+        &mut self,
+        id: ConnectionId,
+        step: &Step,
+        answer: &Answer,
+        asked: Moment,
+        now: Moment,
+    ) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let name = connection.upstream.clone();
+        let ticket = connection.ticket;
+        let Some(code) = answer.failure() else {
+            if step.purpose == Purpose::BeginAtLead
+                && let Some(position) = answer.position
+            {
+                self.prove(&name, position.into(), asked);
+            }
+            self.send_next(id, now);
+            return;
+        };
+        self.learn_refusal(&name, code, step.query.after, now);
+        if step.purpose == Purpose::Prepare {
+            self.close(id, now);
+        } else {
+            self.reset(id, answer.state(), now);
+        }
+        if let Some(ticket) = ticket {
+            self.retry(ticket, &name, Retry::Refused(code), now);
+        }
+    }
+
+    /// Takes in the answer to a session's statement.
+    fn ran(&mut self, id: ConnectionId, answer: Answer, asked: Moment, now: Moment) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let name = connection.upstream.clone();
+        let Some(ticket) = connection.ticket else {
+            self.close(id, now);
+            return;
+        };
+        match answer.failure() {
+            None => {
+                self.note_service(now.since(asked));
+                self.succeeded(ticket, id, &name, answer, asked, now);
+            }
+            Some(code) => self.failed(ticket, id, &name, code, answer, now),
+        }
+    }
+
+    fn succeeded(
+        &mut self,
+        ticket: TicketId,
+        id: ConnectionId,
+        name: &UpstreamName,
+        answer: Answer,
+        asked: Moment,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&ticket) else {
+            self.close(id, now);
+            return;
+        };
+        let verb = job.statement.verb();
+        job.wrote |= verb == Verb::Write;
+        let wrote = job.wrote;
+        let released = job.released;
+        let pinned = job.is_transaction() && verb != Verb::Commit;
+        let state = answer.state();
+        let ends_lead = wrote && (verb == Verb::Commit || !job.is_transaction());
+        if ends_lead && let Some(position) = answer.position {
+            self.prove(name, position.into(), asked);
+        }
+        if pinned && !released && state != TransactionState::Idle {
+            self.pin(ticket, id, now);
+        } else if pinned {
+            self.jobs.remove(&ticket);
+            self.reset(id, state, now);
+        } else {
+            self.jobs.remove(&ticket);
+            self.settle(id, state, now);
+        }
+        if !released {
+            self.finish(ticket, Outcome::Answered(answer));
+        }
+    }
+
+    fn failed(
+        &mut self,
+        ticket: TicketId,
+        id: ConnectionId,
+        name: &UpstreamName,
+        code: Code,
+        answer: Answer,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get(&ticket) else {
+            self.close(id, now);
+            return;
+        };
+        let first = job.statement == job.unit.statement;
+        let repeatable = code == Code::Failed && job.unit.is_repeatable() && job.attempts < 2;
+        let state = answer.state();
+        let after = None;
+        self.learn_refusal(name, code, after, now);
+        if code == Code::UnknownStatement
+            && let Some(connection) = self.connections.get_mut(&id)
+        {
+            connection.forget_prepared();
+        }
+        if (first && code.promises_not_run()) || repeatable {
+            self.reset(id, state, now);
+            self.retry(ticket, name, Retry::Refused(code), now);
+            return;
+        }
+        let job_goes_on = self.jobs.get(&ticket).is_some_and(|job| {
+            job.is_transaction() && !job.released && state != TransactionState::Idle
+        });
+        if job_goes_on {
+            self.pin(ticket, id, now);
+        } else {
+            self.jobs.remove(&ticket);
+            self.reset(id, state, now);
+        }
+        self.finish(ticket, Outcome::Answered(answer));
+    }
+
+    /// Keeps a connection for the next statement of its transaction.
+    fn pin(&mut self, ticket: TicketId, id: ConnectionId, now: Moment) {
+        if let Some(job) = self.jobs.get_mut(&ticket) {
+            job.stage = JobStage::Pinned(id);
+        }
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.stage = Stage::Pinned;
+            connection.since = now;
+        }
+    }
+
+    /// Goes on with what follows a unit's statement; a connection in an unexpected state is closed.
+    fn settle(&mut self, id: ConnectionId, state: TransactionState, now: Moment) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        connection.ticket = None;
+        if connection.steps.is_empty() && state != TransactionState::Idle {
+            self.close(id, now);
+        } else {
+            self.send_next(id, now);
+        }
+    }
+
+    /// Drops what a connection was to do, and rolls back what is open.
+    fn reset(&mut self, id: ConnectionId, state: TransactionState, now: Moment) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        connection.steps.clear();
+        connection.ticket = None;
+        if state == TransactionState::Idle {
+            self.send_next(id, now);
+        } else {
+            self.undo(id, now);
+        }
+    }
+
+    fn undone(&mut self, id: ConnectionId, answer: &Answer, now: Moment) {
+        if answer.failure().is_some() || answer.state() != TransactionState::Idle {
+            self.close(id, now);
+        } else {
+            self.send_next(id, now);
+        }
+    }
+
+    /// Takes in that a connection broke, and decides what that means for its unit.
+    pub(super) fn lost(&mut self, id: ConnectionId, now: Moment) {
+        let Some(connection) = self.connections.remove(&id) else {
+            return;
+        };
+        let name = connection.upstream.clone();
+        if let Some(upstream) = self.upstreams.get_mut(&name) {
+            upstream.closed(now);
+        }
+        self.fail_upstream(&name, now);
+        let Some(ticket) = connection.ticket else {
+            return;
+        };
+        let in_hand = connection.steps.front().map(|step| step.purpose);
+        self.interrupted(ticket, &name, in_hand, Retry::ConnectionLost, now);
+    }
+
+    /// Decides what becomes of a unit whose connection is gone.
+    ///
+    /// `in_hand` is the query that was in flight; nothing if the connection was idle in between.
+    pub(super) fn interrupted(
+        &mut self,
+        ticket: TicketId,
+        name: &UpstreamName,
+        in_hand: Option<Purpose>,
+        reason: Retry,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&ticket) else {
+            return;
+        };
+        let first = job.statement == job.unit.statement;
+        let sent = in_hand == Some(Purpose::Run);
+        let waits = matches!(job.stage, JobStage::Running(_));
+        if first && waits && (!sent || job.unit.is_repeatable()) {
+            self.retry(ticket, name, reason, now);
+            return;
+        }
+        if !waits {
+            job.stage = JobStage::Dead;
+            return;
+        }
+        let nothing_kept = !sent || job.leaves_nothing();
+        self.held.retain(|held| *held != ticket);
+        self.jobs.remove(&ticket);
+        let outcome = if nothing_kept {
+            aborted("the transaction's connection broke")
+        } else {
+            Outcome::in_doubt("the connection broke before the answer came")
+        };
+        self.finish(ticket, outcome);
+    }
+
+    /// Gives a unit to another upstream, or refuses it if that is of no use.
+    pub(super) fn retry(
+        &mut self,
+        ticket: TicketId,
+        name: &UpstreamName,
+        reason: Retry,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&ticket) else {
+            return;
+        };
+        if job.released {
+            self.jobs.remove(&ticket);
+            return;
+        }
+        let request = job.statement.id.clone();
+        if !job.tried.contains(name) {
+            job.tried.push(name.clone());
+        }
+        job.stage = JobStage::Waiting;
+        let spent = job.attempts >= MAX_ATTEMPTS || now >= job.deadline;
+        if spent {
+            self.jobs.remove(&ticket);
+            let refusal = Refusal::new(Cause::NoUpstream, RETRY_PAUSE_MS);
+            self.finish(ticket, Outcome::Refused(refusal));
+            return;
+        }
+        if job.tried.len() >= self.upstreams.len() {
+            job.tried.clear();
+        }
+        self.waiting.insert(job.rank, ticket);
+        self.out.push(Output::Note(Note::Retried {
+            ticket,
+            request,
+            upstream: name.clone(),
+            reason,
+        }));
+    }
+
+    /// Draws what a refusal says about its upstream.
+    fn learn_refusal(
+        &mut self,
+        name: &UpstreamName,
+        code: Code,
+        after: Option<Position>,
+        now: Moment,
+    ) {
+        match code {
+            Code::ReadOnly => self.lose_lead(name, now),
+            Code::Lagging => {
+                if let (Some(upstream), Some(after)) = (self.upstreams.get_mut(name), after) {
+                    upstream.lacks(after, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn heard(&mut self, name: &UpstreamName, position: Option<Position>, now: Moment) {
+        let Some(upstream) = self.upstreams.get_mut(name) else {
+            return;
+        };
+        let back = upstream.failing_since.is_some();
+        upstream.answered(position, now);
+        if back {
+            self.out.push(Output::Note(Note::UpstreamBack(name.clone())));
+        }
+    }
+
+    pub(super) fn fail_upstream(&mut self, name: &UpstreamName, now: Moment) {
+        let Some(upstream) = self.upstreams.get_mut(name) else {
+            return;
+        };
+        let news = upstream.failing_since.is_none();
+        upstream.failed(now);
+        if news {
+            self.out.push(Output::Note(Note::UpstreamLost(name.clone())));
+        }
+    }
+
+    fn prove(&mut self, name: &UpstreamName, position: Position, asked: Moment) {
+        if self.lead.prove(name, position.term) {
+            let note = Note::LeadProven(name.clone(), position.term);
+            self.out.push(Output::Note(note));
+        }
+        if self.lead.upstream() == Some(name) {
+            self.horizon.note(asked, position);
+        }
+    }
+
+    fn lose_lead(&mut self, name: &UpstreamName, now: Moment) {
+        if self.lead.refuse(name, now) {
+            self.out.push(Output::Note(Note::LeadLost(name.clone())));
+        }
+    }
+
+    fn note_service(&mut self, took: Duration) {
+        self.service = (self.service * (SERVICE_WEIGHT - 1) + took) / SERVICE_WEIGHT;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/pool/upstream.rs
@@ -0,0 +1,209 @@
+//! Upstream of a group as a pool sees it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mustardbay_policy::names::DomainName;
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+use mustardbay_policy::position::Term;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Moment;
+
+/// First pause after an upstream could not be reached.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after an upstream could not be reached.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Time for which a closed connection still counts at its upstream.
+const CLOSING: Duration = Duration::from_millis(300);
+/// Pause in opening connections after the upstream had too many.
+const FULL_PAUSE: Duration = Duration::from_millis(250);
+/// Time for which a leaving primary still serves, below the shortest drain bound of 7 s.
+const LEAVING_LEAD: Duration = Duration::from_secs(5);
+/// Time after which an upstream that left the list is gone: its entry may lapse in an outage and
+/// come back within two seconds of its end.
+const MISSING: Duration = Duration::from_secs(3);
+/// Age after which a refused position may have been reached.
+const LAG_RECHECK: Duration = Duration::from_millis(40);
+
+/// What an upstream says that it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// It takes writes.
+    Primary,
+    /// It follows a primary.
+    Replica,
+}
+
+/// Answer of an upstream about itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sighting {
+    /// What it is.
+    pub role: Role,
+    /// Newest term that it knows.
+    pub term: Term,
+    /// Position up to which it has received the log.
+    pub received: Position,
+}
+
+/// Entry of an upstream in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Registration {
+    /// Its name.
+    pub name: UpstreamName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Statements that it runs at a time.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// What it says that it is.
+    pub role: Role,
+    /// Number of its life; another one means that it has started anew.
+    pub incarnation: i64,
+}
+
+/// One upstream and what is known of it.
+#[derive(Debug)]
+pub(super) struct Upstream {
+    pub(super) registration: Registration,
+    /// Position that it has applied.
+    pub(super) applied: Option<Position>,
+    /// Position that it lacked, and when.
+    lacked: Option<(Position, Moment)>,
+    pub(super) sighting: Option<(Sighting, Moment)>,
+    /// When it last answered anything.
+    pub(super) contact: Moment,
+    /// First failure since it last answered.
+    pub(super) failing_since: Option<Moment>,
+    failures: u32,
+    paused_until: Moment,
+    full_until: Moment,
+    closing: Vec<Moment>,
+    leaving_since: Option<Moment>,
+    /// When it was first missing from the list.
+    missing_since: Option<Moment>,
+    /// When a status query was last sent or tried.
+    pub(super) asked: Moment,
+}
+
+impl Upstream {
+    pub(super) fn new(registration: Registration, now: Moment) -> Self {
+        Self {
+            registration,
+            applied: None,
+            lacked: None,
+            sighting: None,
+            contact: now,
+            failing_since: None,
+            failures: 0,
+            paused_until: Moment::default(),
+            full_until: Moment::default(),
+            closing: Vec::new(),
+            leaving_since: None,
+            missing_since: None,
+            asked: Moment::default(),
+        }
+    }
+
+    /// Takes over its entry in the list.
+    pub(super) fn register(&mut self, registration: Registration, now: Moment) {
+        self.missing_since = None;
+        if registration.draining {
+            self.leaving_since.get_or_insert(now);
+        } else {
+            self.leaving_since = None;
+        }
+        self.registration = registration;
+    }
+
+    /// Notes that it is missing from the list; returns whether it is to be forgotten.
+    pub(super) fn is_gone(&mut self, now: Moment) -> bool {
+        let since = *self.missing_since.get_or_insert(now);
+        now.since(since) >= MISSING
+    }
+
+    /// Tells whether it may be given new work; a leaving primary serves until it is replaced.
+    pub(super) fn takes_work(&self, leads: bool, now: Moment) -> bool {
+        match self.leaving_since {
+            None => true,
+            Some(since) => leads && now.since(since) < LEAVING_LEAD,
+        }
+    }
+
+    /// Notes an answer, and the position that it showed.
+    pub(super) fn answered(&mut self, position: Option<Position>, now: Moment) {
+        self.contact = now;
+        self.failing_since = None;
+        self.failures = 0;
+        self.paused_until = Moment::default();
+        if position.is_some() {
+            self.applied = position;
+        }
+    }
+
+    /// Notes that it could not be reached or broke a connection.
+    pub(super) fn failed(&mut self, now: Moment) {
+        self.failing_since.get_or_insert(now);
+        let pause = FIRST_PAUSE * 2u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.paused_until = now.after(pause.min(LONGEST_PAUSE));
+    }
+
+    /// Notes that it has no connection to spare.
+    pub(super) fn full(&mut self, now: Moment) {
+        self.full_until = now.after(FULL_PAUSE);
+    }
+
+    /// Notes that it lacked a position.
+    pub(super) fn lacks(&mut self, position: Position, now: Moment) {
+        self.lacked = Some((position, now));
+    }
+
+    /// Notes that a connection to it was closed.
+    pub(super) fn closed(&mut self, now: Moment) {
+        self.closing.retain(|at| now.since(*at) < CLOSING);
+        self.closing.push(now);
+    }
+
+    /// Returns how many closed connections may still count.
+    pub(super) fn lingering(&self, now: Moment) -> u32 {
+        let count = self
+            .closing
+            .iter()
+            .filter(|at| now.since(**at) < CLOSING)
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Tells whether it may be used at all.
+    pub(super) fn is_usable(&self, now: Moment) -> bool {
+        now >= self.paused_until
+    }
+
+    /// Tells whether a connection to it may be opened.
+    pub(super) fn may_open(&self, now: Moment) -> bool {
+        now >= self.full_until && now >= self.paused_until
+    }
+
+    /// Tells whether it may hold a position, as far as is known.
+    pub(super) fn may_hold(&self, floor: Position, now: Moment) -> bool {
+        if self.applied.is_some_and(|applied| applied.covers(floor)) {
+            return true;
+        }
+        !self
+            .lacked
+            .is_some_and(|(lacked, at)| floor >= lacked && now.since(at) < LAG_RECHECK)
+    }
+
+    /// Tells whether it is known to hold a position.
+    pub(super) fn holds(&self, floor: Position) -> bool {
+        self.applied.is_some_and(|applied| applied.covers(floor))
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/pool/view.rs
@@ -0,0 +1,105 @@
+//! What a pool shows of itself.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+use mustardbay_policy::position::Term;
+use serde::Serialize;
+
+use crate::clock::Moment;
+use crate::pool::Pool;
+use crate::pool::upstream::Registration;
+use crate::pool::upstream::Sighting;
+
+/// Contact of a pool with one upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Contact {
+    /// Its entry in the list.
+    pub registration: Registration,
+    /// Time since its last answer.
+    pub silence: Duration,
+    /// Time since the first failure after its last answer; none while it answers.
+    pub failing: Option<Duration>,
+    /// What it last said of itself, and how long ago.
+    pub sighting: Option<(Sighting, Duration)>,
+}
+
+/// State of a pool for a dump and for metrics.
+#[derive(Debug, Clone, Serialize)]
+pub struct PoolView {
+    /// Upstream that is believed to lead.
+    pub lead: Option<UpstreamName>,
+    /// Newest term that was proven.
+    pub term: Option<Term>,
+    /// Age of the newest position of the primary, in milliseconds.
+    pub horizon_ms: Option<u128>,
+    /// Connections that may be held at each upstream.
+    pub share: u32,
+    /// Whether this vm is the group's home.
+    pub home: bool,
+    /// Units that wait.
+    pub waiting: usize,
+    /// Units that are known.
+    pub jobs: usize,
+    /// Connections by upstream.
+    pub connections: BTreeMap<UpstreamName, usize>,
+    /// Position that each upstream has applied.
+    pub applied: BTreeMap<UpstreamName, Option<Position>>,
+    /// Mean time that a statement holds a slot, in microseconds.
+    pub service_us: u128,
+}
+
+impl Pool {
+    /// Returns the contact with each upstream.
+    #[must_use]
+    pub fn contacts(&self, now: Moment) -> Vec<Contact> {
+        self.upstreams
+            .values()
+            .map(|upstream| Contact {
+                registration: upstream.registration.clone(),
+                silence: now.since(upstream.contact),
+                failing: upstream.failing_since.map(|at| now.since(at)),
+                sighting: upstream.sighting.map(|(s, at)| (s, now.since(at))),
+            })
+            .collect()
+    }
+
+    /// Returns the upstream that is believed to lead, and the newest term that was proven.
+    #[must_use]
+    pub fn lead(&self) -> (Option<UpstreamName>, Option<Term>) {
+        (self.lead.upstream().cloned(), self.lead.term())
+    }
+
+    /// Asks every upstream for its status now.
+    pub fn survey(&mut self, now: Moment) -> Vec<crate::pool::Output> {
+        let names: Vec<UpstreamName> = self.upstreams.keys().cloned().collect();
+        for name in names {
+            self.ask_status(&name, now);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns the state of the pool.
+    #[must_use]
+    pub fn view(&self, now: Moment) -> PoolView {
+        let mut connections: BTreeMap<UpstreamName, usize> = BTreeMap::new();
+        for connection in self.connections.values() {
+            *connections.entry(connection.upstream.clone()).or_default() += 1;
+        }
+        let applied = self.upstreams.iter();
+        PoolView {
+            lead: self.lead.upstream().cloned(),
+            term: self.lead.term(),
+            horizon_ms: self.horizon.age(now).map(|age| age.as_millis()),
+            share: self.share,
+            home: self.home,
+            waiting: self.waiting.len(),
+            jobs: self.jobs.len(),
+            connections,
+            applied: applied.map(|(n, u)| (n.clone(), u.applied)).collect(),
+            service_us: self.service.as_micros(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/rates/purse.rs
@@ -0,0 +1,131 @@
+//! Tokens of one account that this vm may spend.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use mustardbay_policy::account::Bucket;
+use mustardbay_policy::account::TOKEN;
+
+use crate::clock::Moment;
+use crate::rates::GRANT_TERM;
+use crate::rates::Split;
+
+/// Time of demand that is asked for at a time.
+const ASK_AHEAD: Duration = Duration::from_millis(250);
+/// Time of demand below which more is asked for.
+const ASK_BELOW: Duration = Duration::from_millis(100);
+/// Time over which demand is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+/// Time after which a question without an answer is asked again.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// What became of the wish to spend a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Take {
+    /// A token was spent.
+    Spent,
+    /// There is none; the authority's answer may bring one.
+    Wait,
+}
+
+/// Tokens of one account on one vm.
+#[derive(Debug)]
+pub struct Purse {
+    own: Bucket,
+    /// Granted amounts with the moment at which each lapses.
+    granted: VecDeque<(Moment, u64)>,
+    /// Operations a second, averaged.
+    demand: f64,
+    demand_at: Moment,
+    asked: Option<Moment>,
+}
+
+impl Purse {
+    /// Creates a purse whose own part starts empty, since a former life may just have spent it.
+    #[must_use]
+    pub fn new(split: Split, now: Moment) -> Self {
+        Self {
+            own: Bucket::empty(split.own_rate, split.own_burst, now.since_boot()),
+            granted: VecDeque::new(),
+            demand: 0.0,
+            demand_at: now,
+            asked: None,
+        }
+    }
+
+    /// Takes over another rate or another size of the fleet.
+    pub fn resize(&mut self, split: Split, now: Moment) {
+        self.own.advance(now.since_boot());
+        self.own.resize(split.own_rate, split.own_burst);
+    }
+
+    /// Spends a token, the vm's own first.
+    ///
+    /// `entitled` tells whether the vm's lease, and with it its own part, is in force.
+    pub fn take(&mut self, entitled: bool, now: Moment) -> Take {
+        self.count(now);
+        self.take_again(entitled, now)
+    }
+
+    /// Spends a token for an operation that was counted before.
+    pub fn take_again(&mut self, entitled: bool, now: Moment) -> Take {
+        self.own.advance(now.since_boot());
+        if entitled && self.own.take(TOKEN) {
+            return Take::Spent;
+        }
+        self.drop_lapsed(now);
+        let Some((_, amount)) = self.granted.front_mut() else {
+            return Take::Wait;
+        };
+        *amount -= TOKEN;
+        if *amount < TOKEN {
+            self.granted.pop_front();
+        }
+        Take::Spent
+    }
+
+    /// Returns the amount to ask the authority for, if it is time to ask.
+    pub fn ask(&mut self, now: Moment) -> Option<u64> {
+        if self.asked.is_some_and(|at| now.since(at) < ASK_TIMEOUT) {
+            return None;
+        }
+        self.drop_lapsed(now);
+        let held: u64 = self.granted.iter().map(|(_, amount)| amount).sum();
+        let held = held + self.own.tokens();
+        let low = self.demand_over(ASK_BELOW).max(TOKEN);
+        if held >= low {
+            return None;
+        }
+        self.asked = Some(now);
+        let want = self.demand_over(ASK_AHEAD).max(TOKEN);
+        Some(want.saturating_sub(held).div_ceil(TOKEN) * TOKEN)
+    }
+
+    /// Takes in what the authority granted, to a question asked at `asked`.
+    pub fn granted(&mut self, amount: u64, asked: Moment) {
+        self.asked = None;
+        if amount >= TOKEN {
+            self.granted.push_back((asked.after(GRANT_TERM), amount));
+        }
+    }
+
+    fn drop_lapsed(&mut self, now: Moment) {
+        self.granted.retain(|(lapses, _)| *lapses > now);
+    }
+
+    fn count(&mut self, now: Moment) {
+        let past = now.since(self.demand_at).as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
+        self.demand = self.demand * (-past).exp() + 1.0 / DEMAND_WINDOW.as_secs_f64();
+        self.demand_at = now;
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "demand is a small positive number"
+    )]
+    fn demand_over(&self, time: Duration) -> u64 {
+        (self.demand * time.as_secs_f64()).ceil() as u64 * TOKEN
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/runner.rs
@@ -0,0 +1,222 @@
+//! Task that carries out what a group's pool decides.
+
+mod dial;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardbay_policy::names::GroupName;
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Term;
+use mustardbay_process::timer::Timer;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::clock::Moment;
+use crate::desk::Desk;
+use crate::desk::PoolInbox;
+use crate::meters::Meters;
+use crate::pool::ConnectionId;
+use crate::pool::Contact;
+use crate::pool::Input;
+use crate::pool::Note;
+use crate::pool::Output;
+use crate::pool::Outcome;
+use crate::pool::Pool;
+use crate::pool::PoolView;
+use crate::pool::Query;
+use crate::pool::TicketId;
+use crate::wire::Wire;
+
+/// Time between two ticks of a pool; waiting work expires with this precision.
+const TICK: Duration = Duration::from_millis(50);
+
+/// What the steward and the dump ask of a pool.
+#[derive(Debug)]
+pub enum Probe {
+    /// Contacts with the upstreams and the upstream that leads.
+    Contacts(oneshot::Sender<Contacts>),
+    /// State for a dump.
+    View(oneshot::Sender<PoolView>),
+    /// Ask every upstream for its status.
+    Survey,
+}
+
+/// Contacts of a pool at one moment.
+#[derive(Debug, Clone)]
+pub struct Contacts {
+    /// Upstream that is believed to lead.
+    pub lead: Option<UpstreamName>,
+    /// Newest term that was proven.
+    pub term: Option<Term>,
+    /// Contact with each upstream.
+    pub upstreams: Vec<Contact>,
+}
+
+/// Ways into a pool's task.
+#[derive(Debug, Clone)]
+pub struct PoolHandle {
+    /// Work and everything else that a pool decides on.
+    pub inbox: PoolInbox,
+    /// Questions about its state.
+    pub probes: mpsc::UnboundedSender<Probe>,
+}
+
+/// Task around one pool.
+struct Runner<W: Wire> {
+    group: GroupName,
+    pool: Pool,
+    inbox: PoolInbox,
+    desk: Arc<Desk>,
+    meters: Arc<Meters>,
+    queries: BTreeMap<ConnectionId, mpsc::UnboundedSender<Query>>,
+    wire: std::marker::PhantomData<W>,
+}
+
+/// Starts the pool of a group.
+pub fn start<W: Wire>(
+    group: GroupName,
+    desk: Arc<Desk>,
+    meters: Arc<Meters>,
+    timer: &Timer,
+) -> PoolHandle {
+    let (inbox, mut inputs) = mpsc::unbounded_channel();
+    let (probes, mut asked) = mpsc::unbounded_channel();
+    let mut runner = Runner::<W> {
+        group,
+        pool: Pool::new(),
+        inbox: inbox.clone(),
+        desk,
+        meters,
+        queries: BTreeMap::new(),
+        wire: std::marker::PhantomData,
+    };
+    let mut ticks = timer.every(TICK);
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => runner.take(input),
+                    None => return,
+                },
+                probe = asked.recv() => match probe {
+                    Some(probe) => runner.show(probe),
+                    None => return,
+                },
+                tick = ticks.recv() => match tick {
+                    Some(_) => runner.take(Input::Tick),
+                    None => return,
+                },
+            }
+        }
+    });
+    PoolHandle { inbox, probes }
+}
+
+impl<W: Wire> Runner<W> {
+    fn take(&mut self, input: Input) {
+        let outputs = self.pool.handle(input, Moment::now());
+        self.carry_out(outputs);
+    }
+
+    fn carry_out(&mut self, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Open {
+                    connection,
+                    upstream,
+                    address,
+                    account,
+                } => {
+                    let (queries, taken) = mpsc::unbounded_channel();
+                    self.queries.insert(connection, queries);
+                    self.meters.connection_opened();
+                    let line = dial::Line {
+                        group: self.group.clone(),
+                        upstream,
+                        address,
+                        account,
+                        connection,
+                        inbox: self.inbox.clone(),
+                    };
+                    tokio::spawn(line.run::<W>(taken));
+                }
+                Output::Send(connection, query) => self.send(connection, query),
+                Output::Close(connection) => {
+                    self.queries.remove(&connection);
+                }
+                Output::Finish(ticket, outcome) => self.finish(ticket, outcome),
+                Output::Note(note) => self.log(&note),
+            }
+        }
+    }
+
+    fn send(&self, connection: ConnectionId, query: Query) {
+        let sent = self.queries.get(&connection).map(|q| q.send(query));
+        // A connection that ended reports its loss as an input of its own.
+        if !matches!(sent, Some(Ok(()))) {
+            tracing::debug!(event = "query_dropped", group = %self.group, connection = connection.0);
+        }
+    }
+
+    fn finish(&self, ticket: TicketId, outcome: Outcome) {
+        if let Outcome::Refused(refusal) = &outcome {
+            tracing::debug!(event = "unit_refused", group = %self.group, ticket = %ticket,
+                cause = refusal.cause().name(), retry_ms = refusal.retry_ms);
+        }
+        self.desk.reply(ticket.link, ticket.number, outcome);
+    }
+
+    fn log(&self, note: &Note) {
+        let group = &self.group;
+        match note {
+            Note::LeadProven(upstream, term) => {
+                tracing::info!(event = "lead_proven", group = %group, upstream = %upstream, term = %term);
+            }
+            Note::LeadLost(upstream) => {
+                tracing::info!(event = "lead_lost", group = %group, upstream = %upstream);
+            }
+            Note::UpstreamLost(upstream) => {
+                tracing::info!(event = "upstream_lost", group = %group, upstream = %upstream);
+            }
+            Note::UpstreamBack(upstream) => {
+                tracing::info!(event = "upstream_back", group = %group, upstream = %upstream);
+            }
+            Note::Retried {
+                ticket,
+                request,
+                upstream,
+                reason,
+            } => {
+                self.meters.retried();
+                tracing::info!(event = "unit_retried", group = %group, request = %request,
+                    ticket = %ticket, upstream = %upstream, reason = ?reason);
+            }
+        }
+    }
+
+    fn show(&mut self, probe: Probe) {
+        let now = Moment::now();
+        let shown = match probe {
+            Probe::Contacts(reply) => {
+                let (lead, term) = self.pool.lead();
+                let contacts = Contacts {
+                    lead,
+                    term,
+                    upstreams: self.pool.contacts(now),
+                };
+                reply.send(contacts).is_ok()
+            }
+            Probe::View(reply) => reply.send(self.pool.view(now)).is_ok(),
+            Probe::Survey => {
+                let outputs = self.pool.survey(now);
+                self.carry_out(outputs);
+                true
+            }
+        };
+        if !shown {
+            tracing::debug!(event = "probe_unwanted", group = %self.group);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/runner/dial.rs
@@ -0,0 +1,176 @@
+//! One connection to an upstream: opens it, carries queries and reports answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::SinkExt;
+use futures::StreamExt;
+use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::GroupName;
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_util::codec::Framed;
+
+use crate::desk::PoolInbox;
+use crate::pool::Command;
+use crate::pool::ConnectionId;
+use crate::pool::Input;
+use crate::pool::OpenFailure;
+use crate::pool::Query;
+use crate::socket;
+use crate::wire::FromUpstream;
+use crate::wire::ToUpstream;
+use crate::wire::Wire;
+use crate::work::Answer;
+use crate::work::Code;
+
+/// Longest wait for a connection to open; the pool gives up on it no earlier.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Connection to open and whom to tell of it.
+pub(super) struct Line {
+    pub(super) group: GroupName,
+    pub(super) upstream: UpstreamName,
+    pub(super) address: SocketAddr,
+    pub(super) account: AccountName,
+    pub(super) connection: ConnectionId,
+    pub(super) inbox: PoolInbox,
+}
+
+type Stream<W> = Framed<TcpStream, <W as Wire>::Upstream>;
+
+impl Line {
+    /// Runs the connection until it breaks or the pool closes it.
+    pub(super) async fn run<W: Wire>(self, mut queries: mpsc::UnboundedReceiver<Query>) {
+        let opened = tokio::select! {
+            opened = self.open::<W>() => opened,
+            () = wait_closed(&mut queries) => return,
+        };
+        match opened {
+            Ok((stream, position)) => {
+                self.tell(Input::Opened(self.connection, position));
+                self.carry::<W>(stream, queries).await;
+            }
+            Err(failure) => self.tell(Input::OpenFailed(self.connection, failure)),
+        }
+    }
+
+    async fn open<W: Wire>(&self) -> Result<(Stream<W>, Option<Position>), OpenFailure> {
+        let connected = socket::connect(self.address, CONNECT_TIMEOUT).await;
+        let stream = connected.map_err(|e| {
+            tracing::debug!(event = "connect_failed", upstream = %self.upstream, error = %e);
+            OpenFailure::Unreachable
+        })?;
+        let mut stream = Framed::new(stream, W::Upstream::default());
+        let start = ToUpstream::Start {
+            group: self.group.clone(),
+            account: self.account.clone(),
+            upstream: self.upstream.clone(),
+        };
+        if let Err(e) = stream.send(start).await {
+            tracing::debug!(event = "start_failed", upstream = %self.upstream, error = %e);
+            return Err(OpenFailure::Unreachable);
+        }
+        let first = tokio::time::timeout(CONNECT_TIMEOUT, stream.next()).await;
+        match first {
+            Ok(Some(Ok(FromUpstream::Ready(_, position)))) => Ok((stream, position)),
+            Ok(Some(Ok(FromUpstream::Error(code, text)))) => Err(self.refused(code, &text)),
+            Ok(Some(Ok(_))) => Err(OpenFailure::Refused),
+            Ok(Some(Err(_)) | None) | Err(_) => Err(OpenFailure::Unreachable),
+        }
+    }
+
+    fn refused(&self, code: Code, text: &str) -> OpenFailure {
+        tracing::info!(event = "connection_refused", group = %self.group, upstream = %self.upstream,
+            code = ?code, text);
+        match code {
+            Code::TooMany => OpenFailure::TooMany,
+            Code::Misrouted => OpenFailure::Misrouted,
+            _ => OpenFailure::Refused,
+        }
+    }
+
+    async fn carry<W: Wire>(
+        &self,
+        mut stream: Stream<W>,
+        mut queries: mpsc::UnboundedReceiver<Query>,
+    ) {
+        loop {
+            let query = tokio::select! {
+                query = queries.recv() => query,
+                // An idle connection says nothing; whatever comes means that it is of no more use.
+                _ = stream.next() => {
+                    self.tell(Input::Lost(self.connection));
+                    return;
+                }
+            };
+            let Some(query) = query else {
+                if stream.send(ToUpstream::Quit).await.is_err() {
+                    tracing::debug!(event = "quit_not_sent", upstream = %self.upstream);
+                }
+                return;
+            };
+            let asks_status = query.command == Command::Status;
+            let answer = tokio::select! {
+                answer = exchange::<W>(&mut stream, query) => answer,
+                () = wait_closed(&mut queries) => return,
+            };
+            let Some(answer) = answer else {
+                self.tell(Input::Lost(self.connection));
+                return;
+            };
+            self.tell(if asks_status {
+                let sighting = answer.rows.first().and_then(|row| W::sighting(row));
+                let position = answer.position.map(Position::from);
+                Input::Sighted(self.connection, sighting, position)
+            } else {
+                Input::Replied(self.connection, answer)
+            });
+        }
+    }
+
+    fn tell(&self, input: Input) {
+        if self.inbox.send(input).is_err() {
+            tracing::debug!(event = "pool_gone", group = %self.group);
+        }
+    }
+}
+
+/// Waits until the pool closes the connection.
+///
+/// The pool sends no query while another is in flight.
+async fn wait_closed(queries: &mut mpsc::UnboundedReceiver<Query>) {
+    while queries.recv().await.is_some() {}
+}
+
+/// Sends a query and collects its whole answer; nothing if the connection breaks.
+async fn exchange<W: Wire>(stream: &mut Stream<W>, query: Query) -> Option<Answer> {
+    if let Err(e) = stream.send(ToUpstream::Query(query)).await {
+        tracing::debug!(event = "query_not_sent", error = %e);
+        return None;
+    }
+    let mut answer = Answer::default();
+    let mut ended = false;
+    loop {
+        match stream.next().await {
+            Some(Ok(FromUpstream::Row(row))) => answer.rows.push(row),
+            Some(Ok(FromUpstream::Complete(signature))) => {
+                answer.signature = signature;
+                ended = true;
+            }
+            Some(Ok(FromUpstream::Error(code, text))) => {
+                answer.code = Some(code.into());
+                answer.text = text;
+                ended = true;
+            }
+            Some(Ok(FromUpstream::Ready(state, position))) if ended => {
+                answer.state = state.into();
+                answer.position = position.map(Into::into);
+                return Some(answer);
+            }
+            Some(Ok(FromUpstream::Ready(..)) | Err(_)) | None => return None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/session/client.rs
@@ -0,0 +1,395 @@
+//! State of a session and the answers to its queries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardbay_policy::names::RouteName;
+use mustardbay_policy::position::Position;
+
+use crate::clock::Moment;
+use crate::configuration::Key;
+use crate::entry::Admitted;
+use crate::entry::Denial;
+use crate::entry::Entry;
+use crate::entry::current;
+use crate::entry::look_up;
+use crate::pool::Outcome;
+use crate::session::answer;
+use crate::session::transaction::Progress;
+use crate::session::transaction::Transaction;
+use crate::session::values::Values;
+use crate::wire::Request;
+use crate::wire::ToCaller;
+use crate::work::Answer;
+use crate::work::Code;
+use crate::work::Setting;
+use crate::work::Statement;
+use crate::work::TransactionState;
+use crate::work::Unit;
+use crate::work::Verb;
+
+/// Time that a transaction may rest when the configuration names none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(3);
+
+/// One caller's session.
+#[derive(Debug)]
+pub(super) struct Client {
+    number: u64,
+    route: RouteName,
+    key: Option<Key>,
+    entry: Arc<Entry>,
+    values: Values,
+    /// Position of the last commit that the session knows of.
+    floor: Option<Position>,
+    transaction: Option<Transaction>,
+}
+
+impl Client {
+    /// Begins a session.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a confirmed configuration lacks the route or the key. Without a confirmed one the
+    /// session begins, and its operations are refused until there is one.
+    pub(super) fn start(
+        number: u64,
+        route: RouteName,
+        key: Option<Key>,
+        entry: Arc<Entry>,
+    ) -> Result<Self, Denial> {
+        let belief = entry.board.belief();
+        if let Ok(belief) = current(belief, entry.bounds.currency, Moment::now())
+            && let Err(denial) = look_up(&belief, &route, key.as_ref())
+        {
+            tracing::info!(event = "session_refused", session = number, route = %route,
+                cause = denial.name(), version = %belief.survey.configuration.version,
+                age_ms = millis(belief.age(Moment::now())));
+            return Err(denial);
+        }
+        Ok(Self {
+            number,
+            route,
+            key,
+            entry,
+            values: Values::default(),
+            floor: None,
+            transaction: None,
+        })
+    }
+
+    /// Tells whether the session may be closed without harm.
+    pub(super) fn rests(&self) -> bool {
+        self.transaction
+            .as_ref()
+            .is_none_or(|t| !matches!(t.progress, Progress::Running(_)))
+    }
+
+    /// Waits until the open transaction has rested for too long.
+    pub(super) async fn until_expiry(&self) {
+        let running = self
+            .transaction
+            .as_ref()
+            .filter(|t| !matches!(t.progress, Progress::Failed));
+        let Some(transaction) = running else {
+            return std::future::pending().await;
+        };
+        let idle = self
+            .entry
+            .board
+            .belief()
+            .map_or(DEFAULT_IDLE, |b| b.survey.configuration.transaction_idle);
+        let rested = Moment::now().since(transaction.since);
+        tokio::time::sleep(idle.saturating_sub(rested)).await;
+    }
+
+    /// Ends the open transaction, if any, and keeps nothing of it.
+    pub(super) fn abort_transaction(&mut self, reason: &str) {
+        if let Some(transaction) = &mut self.transaction
+            && !matches!(transaction.progress, Progress::Failed)
+        {
+            transaction.fail();
+            tracing::debug!(event = "transaction_aborted", session = self.number, reason);
+        }
+    }
+
+    /// Answers what cannot be read.
+    pub(super) fn malformed(&self) -> Vec<ToCaller> {
+        answer::error(Code::Malformed, "cannot be read", self.state())
+    }
+
+    /// Answers a query.
+    pub(super) async fn answer(&mut self, request: Request) -> Vec<ToCaller> {
+        let failed = self.state() == TransactionState::Failed;
+        match request {
+            Request::Statement(statement) => self.run(statement).await,
+            Request::Execute {
+                id,
+                name,
+                arguments,
+            } => match self.values.shape(&name).cloned() {
+                Some(shape) => {
+                    let verb = if shape.writes {
+                        Verb::Write
+                    } else {
+                        Verb::Read
+                    };
+                    let mut statement = Statement::new(id, verb, arguments);
+                    statement.shape = Some(shape);
+                    self.run(statement).await
+                }
+                None if failed => self.malformed(),
+                None => {
+                    let text = "no statement is prepared under this name";
+                    answer::error(Code::UnknownStatement, text, self.state())
+                }
+            },
+            Request::Set(_) | Request::Prepare { .. } | Request::Deallocate { .. } if failed => {
+                self.malformed()
+            }
+            Request::Set(setting) => {
+                self.values.set(setting);
+                answer::done(self.state())
+            }
+            Request::Prepare { name, shape } => {
+                self.values.prepare(name, shape);
+                answer::done(self.state())
+            }
+            Request::Deallocate { name } => {
+                if self.values.deallocate(&name) {
+                    answer::done(self.state())
+                } else {
+                    let text = "no statement is prepared under this name";
+                    answer::error(Code::UnknownStatement, text, self.state())
+                }
+            }
+        }
+    }
+
+    fn state(&self) -> TransactionState {
+        match self.transaction.as_ref().map(|t| &t.progress) {
+            None => TransactionState::Idle,
+            Some(Progress::Failed) => TransactionState::Failed,
+            Some(Progress::Begun | Progress::Running(_)) => TransactionState::Open,
+        }
+    }
+
+    async fn run(&mut self, statement: Statement) -> Vec<ToCaller> {
+        let began = Moment::now();
+        let request = statement.id.clone();
+        let verb = statement.verb();
+        let messages = match (verb, self.state()) {
+            (Verb::Begin | Verb::BeginRead, TransactionState::Idle) => self.begin(statement).await,
+            (Verb::Read | Verb::Write, TransactionState::Idle) => self.run_single(statement).await,
+            (Verb::Rollback, TransactionState::Open | TransactionState::Failed) => self.roll_back(),
+            (Verb::Commit, TransactionState::Failed) => {
+                self.transaction = None;
+                let text = "the transaction had failed and was rolled back";
+                answer::error(Code::Aborted, text, TransactionState::Idle)
+            }
+            (Verb::Read | Verb::Write | Verb::Commit, TransactionState::Open) => {
+                self.run_in_transaction(statement).await
+            }
+            _ => self.malformed(),
+        };
+        self.record(&request, verb, &messages, began);
+        messages
+    }
+
+    /// Admits an operation: currency, route, key, rate.
+    async fn admit(&self) -> Result<Admitted, Denial> {
+        let admitted = self.look_up()?;
+        if let Some(rate) = admitted.rate {
+            let taken = self.entry.purses.take(&admitted.account, rate).await;
+            taken.map_err(Denial::RateSpent)?;
+        }
+        // The wait for tokens may have outlasted the proof that the key is in force.
+        self.look_up()
+    }
+
+    fn look_up(&self) -> Result<Admitted, Denial> {
+        let currency = self.entry.bounds.currency;
+        let belief = current(self.entry.board.belief(), currency, Moment::now())?;
+        look_up(&belief, &self.route, self.key.as_ref())
+    }
+
+    async fn begin(&mut self, statement: Statement) -> Vec<ToCaller> {
+        match self.admit().await {
+            Ok(admitted) => {
+                self.transaction = Some(Transaction {
+                    begin: statement,
+                    admitted,
+                    progress: Progress::Begun,
+                    wrote: false,
+                    since: Moment::now(),
+                });
+                answer::done(TransactionState::Open)
+            }
+            Err(denial) => self.deny(&statement.id, &denial, TransactionState::Idle),
+        }
+    }
+
+    async fn run_single(&mut self, statement: Statement) -> Vec<ToCaller> {
+        let admitted = match self.admit().await {
+            Ok(admitted) => admitted,
+            Err(denial) => return self.deny(&statement.id, &denial, TransactionState::Idle),
+        };
+        let writes = statement.verb() == Verb::Write;
+        let unit = self.unit(&admitted, statement, None);
+        let (outcome, _) = self.entry.router.run(unit).await;
+        let answer = into_answer(outcome);
+        if writes {
+            self.learn_commit(&answer);
+        }
+        answer::relayed(answer, TransactionState::Idle)
+    }
+
+    async fn run_in_transaction(&mut self, statement: Statement) -> Vec<ToCaller> {
+        if let Err(denial) = self.look_up()
+            && denial != Denial::RouteUnknown
+        {
+            self.abort_transaction(denial.name());
+            return self.deny(&statement.id, &denial, TransactionState::Failed);
+        }
+        let Some(mut transaction) = self.transaction.take() else {
+            return self.malformed();
+        };
+        let verb = statement.verb();
+        transaction.wrote |= verb == Verb::Write;
+        let settings = self.values.settings();
+        let outcome = match &transaction.progress {
+            Progress::Running(place) => {
+                let left = transaction.admitted.route.timeout;
+                place
+                    .resume(statement, settings, left, transaction.wrote)
+                    .await
+            }
+            Progress::Begun | Progress::Failed => {
+                let begin = Some(transaction.begin.clone());
+                let unit = self.unit(&transaction.admitted, statement, begin);
+                let (outcome, place) = self.entry.router.run(unit).await;
+                if let Some(place) = place {
+                    transaction.progress = Progress::Running(place);
+                }
+                outcome
+            }
+        };
+        self.conclude(transaction, verb, outcome)
+    }
+
+    /// Decides the state of a transaction after the answer to one of its statements.
+    fn conclude(
+        &mut self,
+        mut transaction: Transaction,
+        verb: Verb,
+        outcome: Outcome,
+    ) -> Vec<ToCaller> {
+        let answer = into_answer(outcome);
+        let failure = answer.failure();
+        if verb == Verb::Commit {
+            if failure.is_none() && transaction.wrote {
+                self.learn_commit(&answer);
+            }
+            let kept_open = failure.is_some() && answer.state() != TransactionState::Idle;
+            if kept_open {
+                transaction.fail();
+            }
+            return answer::relayed(answer, TransactionState::Idle);
+        }
+        transaction.since = Moment::now();
+        let goes_on = failure.is_none() || answer.state() == TransactionState::Open;
+        if !goes_on {
+            transaction.fail();
+        }
+        self.transaction = Some(transaction);
+        answer::relayed(answer, self.state())
+    }
+
+    fn roll_back(&mut self) -> Vec<ToCaller> {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.fail();
+        }
+        self.transaction = None;
+        answer::done(TransactionState::Idle)
+    }
+
+    fn unit(
+        &self,
+        admitted: &Admitted,
+        statement: Statement,
+        begin: Option<Statement>,
+    ) -> Unit {
+        let route = &admitted.route;
+        Unit {
+            statement,
+            begin,
+            account: admitted.account.as_str().to_owned(),
+            group: route.group.as_str().to_owned(),
+            guarantee: route.guarantee.into(),
+            staleness_ms: millis(route.staleness),
+            floor: self.floor.map(Into::into),
+            settings: self.settings(),
+            priority: route.priority,
+            left_ms: millis(route.timeout),
+            objective_ms: millis(route.objective),
+        }
+    }
+
+    fn settings(&self) -> Vec<Setting> {
+        self.values.settings()
+    }
+
+    fn learn_commit(&mut self, answer: &Answer) {
+        if answer.failure().is_none()
+            && let Some(position) = answer.position
+        {
+            self.floor = self.floor.max(Some(position.into()));
+        }
+    }
+
+    fn deny(
+        &self,
+        request: &str,
+        denial: &Denial,
+        state: TransactionState,
+    ) -> Vec<ToCaller> {
+        let belief = self.entry.board.belief();
+        let version = belief.as_ref().map(|b| b.survey.configuration.version.0);
+        let age = belief.map(|b| millis(b.age(Moment::now())));
+        tracing::info!(event = "operation_denied", request, session = self.number, route = %self.route,
+            cause = denial.name(), version, age_ms = age);
+        answer::error(denial.code(), denial.text(), state)
+    }
+
+    /// Logs and counts the outcome of a statement; successes within the objective are only counted.
+    fn record(&self, request: &str, verb: Verb, messages: &[ToCaller], began: Moment) {
+        let took = Moment::now().since(began);
+        let failure = messages.iter().find_map(|message| match message {
+            ToCaller::Error(code, text) => Some((*code, text)),
+            _ => None,
+        });
+        let outcome = match failure {
+            None => "success",
+            Some((code, _)) => code.name(),
+        };
+        self.entry.meters.statement(outcome, took);
+        if let Some((code, text)) = failure {
+            tracing::info!(event = "statement_failed", request, session = self.number,
+                route = %self.route, verb = ?verb, code = ?code, text = %text, took_ms = millis(took));
+        }
+    }
+}
+
+/// Returns the answer that tells a caller of an outcome.
+fn into_answer(outcome: Outcome) -> Answer {
+    match outcome {
+        Outcome::Answered(answer) => answer,
+        Outcome::Refused(refusal) => {
+            Answer::failed(Code::Busy, refusal.text(), TransactionState::Idle)
+        }
+    }
+}
+
+/// Returns whole milliseconds.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/proxy/src/session/conduct.rs
@@ -0,0 +1,70 @@
+//! When a session is closed while its vm stops.
+
+use std::time::Duration;
+
+use mustardbay_process::lifecycle::Lifecycle;
+use tokio::time::Instant;
+
+/// Longest wait for the start of a session.
+pub(super) const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for a caller to read its answer.
+pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Part of the grace after which idle sessions begin to close, in percent: the balancer has taken
+/// the vm out by then.
+const CLOSE_FROM: u32 = 40;
+/// Part of the grace after which every idle session is closed, in percent.
+const CLOSE_UNTIL: u32 = 75;
+/// Part of the grace that an open transaction has to end, in percent.
+const TRANSACTION_UNTIL: u32 = 50;
+/// Moments over which the closing of idle sessions is spread.
+const SPREAD: u32 = 32;
+
+/// What has to be closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Close {
+    /// The session, which is idle.
+    Idle,
+    /// The open transaction.
+    Transaction,
+}
+
+/// How a session ends when its vm stops.
+#[derive(Debug)]
+pub(super) struct Conduct {
+    life: Lifecycle,
+    grace: Duration,
+    /// Place of this session among those that close, below [`SPREAD`].
+    place: u32,
+    drain_began: Option<Instant>,
+}
+
+impl Conduct {
+    pub(super) fn new(number: u64, life: Lifecycle, grace: Duration) -> Self {
+        let place = number % u64::from(SPREAD);
+        Self {
+            life,
+            grace,
+            place: u32::try_from(place).unwrap_or(0),
+            drain_began: None,
+        }
+    }
+
+    /// Waits until the session, or its open transaction, has to be closed.
+    pub(super) async fn until_close(&mut self, rests: bool) -> Close {
+        let began = match self.drain_began {
+            Some(began) => began,
+            None => {
+                self.life.drained_from_now().await;
+                *self.drain_began.insert(Instant::now())
+            }
+        };
+        if rests {
+            let percent = CLOSE_FROM + (CLOSE_UNTIL - CLOSE_FROM) * self.place / SPREAD;
+            tokio::time::sleep_until(began + self.grace * percent / 100).await;
+            Close::Idle
+        } else {
+            tokio::time::sleep_until(began + self.grace * TRANSACTION_UNTIL / 100).await;
+            Close::Transaction
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/session/transaction.rs
@@ -0,0 +1,41 @@
+//! Open transaction of a session.
+
+use crate::clock::Moment;
+use crate::entry::Admitted;
+use crate::entry::Place;
+use crate::work::Statement;
+
+/// How far a transaction has come.
+#[derive(Debug)]
+pub(super) enum Progress {
+    /// Its begin was answered; no statement has come yet.
+    Begun,
+    /// It runs at a vm's pool.
+    Running(Place),
+    /// It has failed; only its end is accepted.
+    Failed,
+}
+
+/// Transaction between its begin and its end.
+#[derive(Debug)]
+pub(super) struct Transaction {
+    /// Statement that began it, sent with the first one that follows.
+    pub(super) begin: Statement,
+    /// What was admitted when it began.
+    pub(super) admitted: Admitted,
+    pub(super) progress: Progress,
+    /// Whether a write was sent.
+    pub(super) wrote: bool,
+    /// When its last statement was answered.
+    pub(super) since: Moment,
+}
+
+impl Transaction {
+    /// Ends what runs of it and lets it fail.
+    pub(super) fn fail(&mut self) {
+        if let Progress::Running(place) = &self.progress {
+            place.release();
+        }
+        self.progress = Progress::Failed;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/tenure.rs
@@ -0,0 +1,53 @@
+//! This vm's lease: whether its place in the fleet is in force.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::platform::LeaseId;
+
+/// Part of a lease's term that is left unused, for clocks that drift.
+const MARGIN: Duration = Duration::from_millis(200);
+
+/// Lease of this vm and how long it certainly holds.
+#[derive(Debug, Default)]
+pub struct Tenure {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct State {
+    lease: Option<LeaseId>,
+    until: Moment,
+}
+
+impl Tenure {
+    /// Notes that a lease was granted or renewed by a call sent at `asked`.
+    pub fn renew(&self, lease: LeaseId, asked: Moment, term: Duration) {
+        *self.lock() = State {
+            lease: Some(lease),
+            until: asked.after(term.saturating_sub(MARGIN)),
+        };
+    }
+
+    /// Notes that the lease has ended.
+    pub fn end(&self) {
+        *self.lock() = State::default();
+    }
+
+    /// Returns the lease, if there is one that is not known to have ended.
+    pub fn lease(&self) -> Option<LeaseId> {
+        self.lock().lease
+    }
+
+    /// Tells whether the lease certainly holds.
+    pub fn holds(&self, now: Moment) -> bool {
+        let state = self.lock();
+        state.lease.is_some() && now < state.until
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/vm.rs
@@ -0,0 +1,196 @@
+//! One vm: starts its parts and ends them.
+
+mod membership;
+mod ready;
+mod steward;
+mod surveyor;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardbay_process::admin::Admin;
+use mustardbay_process::incarnation::incarnation;
+use mustardbay_process::lifecycle::Lifecycle;
+use mustardbay_process::metrics::Metrics;
+use mustardbay_process::timer::Timer;
+use thiserror::Error;
+
+use crate::board::Board;
+use crate::desk::Desk;
+use crate::entry;
+use crate::entry::Entry;
+use crate::entry::EntryBounds;
+use crate::entry::Purses;
+use crate::entry::Router;
+use crate::fleet::Incarnation;
+use crate::fleet::Member;
+use crate::link;
+use crate::link::Link;
+use crate::link::Links;
+use crate::link::Reply;
+use crate::meters::Meters;
+use crate::platform::Platform;
+use crate::pool::Input;
+use crate::settings::VmSettings;
+use crate::socket;
+use crate::tenure::Tenure;
+use crate::wire::Wire;
+
+/// Part of the grace after which the process ends, in percent.
+const EXIT_PERCENT: u32 = 90;
+
+/// Why a vm could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("address cannot be used: {0}")]
+    Listen(#[from] std::io::Error),
+    /// The metrics could not be set up.
+    #[error(transparent)]
+    Metrics(#[from] mustardbay_process::metrics::MetricsError),
+}
+
+/// Runs a vm until it is asked to stop and has stopped.
+///
+/// # Errors
+///
+/// Fails if an address cannot be listened on or the metrics cannot be set up.
+pub async fn run<W: Wire>(
+    settings: VmSettings,
+    platform: Arc<dyn Platform>,
+) -> Result<(), StartError> {
+    let life = Lifecycle::new();
+    life.drain_on_signal()?;
+    let metrics = Metrics::new()?;
+    let meters = Arc::new(Meters::new(&metrics.meter()));
+    let timer = Timer::new();
+    let board = Arc::new(Board::default());
+    let tenure = Arc::new(Tenure::default());
+    let desk = Arc::new(Desk::new(Arc::clone(&board)));
+    let own = open_own_link(&desk);
+    let links = Arc::new(Links::new(settings.vm.clone(), own));
+    let me = member(&settings);
+    tracing::info!(event = "vm_started", vm = %settings.vm, domain = %settings.domain,
+        incarnation = me.incarnation.0, currency_ms = settings.currency().as_millis());
+
+    let link_listener = socket::listen(settings.listen.link)?;
+    tokio::spawn(link::serve(link_listener, Arc::clone(&desk)));
+    let purses = Purses::new(
+        Arc::clone(&board),
+        Arc::clone(&links),
+        Arc::clone(&tenure),
+    );
+    let entry = Arc::new(Entry {
+        vm: settings.vm.clone(),
+        board: Arc::clone(&board),
+        router: Router::new(settings.vm.clone(), Arc::clone(&board), Arc::clone(&links)),
+        purses: Arc::new(purses),
+        life: life.clone(),
+        meters: Arc::clone(&meters),
+        bounds: EntryBounds {
+            currency: settings.currency(),
+            grace: settings.grace(),
+        },
+    });
+    let steward = steward::start::<W>(steward::Parts {
+        me: settings.vm.clone(),
+        board: Arc::clone(&board),
+        desk: Arc::clone(&desk),
+        links: Arc::clone(&links),
+        tenure: Arc::clone(&tenure),
+        platform: Arc::clone(&platform),
+        meters: Arc::clone(&meters),
+        timer: timer.clone(),
+    });
+    let dump = steward.clone();
+    Admin::new(life.clone(), metrics, move || {
+        let steward = dump.clone();
+        async move { steward::dump(&steward).await }
+    })
+    .serve(&settings.listen.admin.to_string())
+    .await?;
+    surveyor::start(surveyor::Parts {
+        me: settings.vm.clone(),
+        board: Arc::clone(&board),
+        links: Arc::clone(&links),
+        platform: Arc::clone(&platform),
+        meters: Arc::clone(&meters),
+        steward,
+    });
+    membership::start(
+        me,
+        Arc::clone(&tenure),
+        Arc::clone(&platform),
+        life.clone(),
+        &timer,
+    );
+    ready::serve(
+        settings.listen.ready,
+        Arc::clone(&board),
+        life.clone(),
+        settings.currency(),
+    )
+    .await?;
+    let callers = socket::listen(settings.listen.entry)?;
+    tokio::spawn(entry::serve::<W>(callers, entry));
+    life.mark_ready();
+
+    life.drained_from_now().await;
+    stop(&settings, &desk, &tenure, platform.as_ref()).await;
+    Ok(())
+}
+
+/// Leaves the fleet at once, serves what is open, and returns at the end of the grace.
+async fn stop(
+    settings: &VmSettings,
+    desk: &Desk,
+    tenure: &Tenure,
+    platform: &dyn Platform,
+) {
+    tracing::info!(event = "vm_stopping", vm = %settings.vm);
+    let end = tokio::time::Instant::now() + settings.grace() * EXIT_PERCENT / 100;
+    desk.tell_pools(&Input::Retire);
+    if let Some(lease) = tenure.lease() {
+        tenure.end();
+        if let Err(e) = platform.end(lease).await {
+            tracing::warn!(event = "lease_not_ended", error = %e);
+        }
+    }
+    tokio::time::sleep_until(end).await;
+    tracing::info!(event = "vm_stopped", vm = %settings.vm);
+}
+
+/// Returns this vm's entry in the list of members.
+fn member(settings: &VmSettings) -> Member {
+    Member {
+        vm: settings.vm.clone(),
+        address: settings.listen.link,
+        domain: settings.domain.clone(),
+        incarnation: Incarnation(incarnation()),
+        weight: settings.weight(),
+    }
+}
+
+/// Connects sessions of this vm to its own pools without a socket.
+fn open_own_link(desk: &Arc<Desk>) -> Arc<Link> {
+    let (link, mut asks) = Link::new();
+    let link = Arc::new(link);
+    let (replies, mut answered) = tokio::sync::mpsc::unbounded_channel::<Reply>();
+    let number = desk.open_link(replies);
+    let asking = Arc::clone(desk);
+    tokio::spawn(async move {
+        while let Some(ask) = asks.recv().await {
+            asking.handle(number, ask);
+        }
+    });
+    let resolving = Arc::clone(&link);
+    tokio::spawn(async move {
+        while let Some(reply) = answered.recv().await {
+            resolving.resolve(reply);
+        }
+    });
+    link
+}
+
+/// Time between two readings of the store while all is well.
+pub(crate) const SURVEY_EVERY: Duration = Duration::from_millis(1_000);
--- /dev/null
+++ b/crates/proxy/src/vm/membership.rs
@@ -0,0 +1,67 @@
+//! Keeps this vm's lease and its entry in the list of members.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardbay_process::lifecycle::Lifecycle;
+use mustardbay_process::timer::Timer;
+
+use crate::clock::Moment;
+use crate::fleet::Member;
+use crate::platform::Platform;
+use crate::platform::PlatformError;
+use crate::tenure::Tenure;
+
+/// Term of a vm's lease: a vm that is gone keeps its duties for so long at most.
+const TERM: Duration = Duration::from_secs(3);
+/// Time between two renewals; three may fail within a term.
+const RENEW_EVERY: Duration = Duration::from_millis(800);
+
+/// Starts to keep the lease.
+pub(super) fn start(
+    me: Member,
+    tenure: Arc<Tenure>,
+    platform: Arc<dyn Platform>,
+    life: Lifecycle,
+    timer: &Timer,
+) {
+    let mut ticks = timer.every(RENEW_EVERY);
+    tokio::spawn(async move {
+        while ticks.recv().await.is_some() {
+            if life.is_draining() {
+                return;
+            }
+            if let Err(e) = renew(&me, &tenure, platform.as_ref()).await {
+                tracing::info!(event = "lease_not_renewed", vm = %me.vm, error = %e);
+            }
+        }
+    });
+}
+
+/// Renews the lease, or takes a new one and joins with it.
+async fn renew(
+    me: &Member,
+    tenure: &Tenure,
+    platform: &dyn Platform,
+) -> Result<(), PlatformError> {
+    let asked = Moment::now();
+    let Some(lease) = tenure.lease() else {
+        let (lease, term) = platform.lease(TERM).await?;
+        platform.join(me, lease).await?;
+        tenure.renew(lease, asked, term);
+        tracing::info!(event = "vm_joined", vm = %me.vm, lease = lease.0);
+        return Ok(());
+    };
+    match platform.keep(lease).await {
+        Ok(()) => {
+            tenure.renew(lease, asked, TERM);
+            Ok(())
+        }
+        Err(PlatformError::LeaseEnded) => {
+            tracing::info!(event = "lease_ended", vm = %me.vm, lease = lease.0);
+            tenure.end();
+            Err(PlatformError::LeaseEnded)
+        }
+        Err(e) => Err(e),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/vm/ready.rs
@@ -0,0 +1,56 @@
+//! Answer to the balancer's probe.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use mustardbay_process::lifecycle::Lifecycle;
+
+use crate::board::Board;
+use crate::clock::Moment;
+use crate::socket;
+
+/// What readiness depends on.
+#[derive(Debug, Clone)]
+struct Readiness {
+    board: Arc<Board>,
+    life: Lifecycle,
+    currency: Duration,
+}
+
+/// Serves the probe in the background, at every path.
+pub(super) async fn serve(
+    address: SocketAddr,
+    board: Arc<Board>,
+    life: Lifecycle,
+    currency: Duration,
+) -> std::io::Result<()> {
+    let listener = socket::listen(address)?;
+    let readiness = Readiness {
+        board,
+        life,
+        currency,
+    };
+    let app = Router::new().fallback(answer).with_state(readiness);
+    tokio::spawn(async move {
+        if let Err(e) = axum::serve(listener, app).await {
+            tracing::error!(event = "ready_failed", error = %e);
+        }
+    });
+    Ok(())
+}
+
+async fn answer(State(readiness): State<Readiness>) -> StatusCode {
+    let current = readiness
+        .board
+        .belief()
+        .is_some_and(|belief| belief.age(Moment::now()) < readiness.currency);
+    if current && readiness.life.is_healthy() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/vm/steward.rs
@@ -0,0 +1,294 @@
+//! Actor that divides the work among vms and watches over the primaries of its groups.
+
+mod promotion;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::Actor;
+use kameo::Reply;
+use kameo::actor::ActorRef;
+use kameo::actor::Spawn;
+use kameo::message::Context;
+use kameo::message::Message;
+use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::GroupName;
+use mustardbay_policy::names::VmName;
+use mustardbay_process::timer::Timer;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use crate::board::Belief;
+use crate::board::Board;
+use crate::clock::Moment;
+use crate::desk::Desk;
+use crate::fleet::authority;
+use crate::fleet::group_ranking;
+use crate::fleet::share;
+use crate::group::Event;
+use crate::group::Succession;
+use crate::link::Links;
+use crate::meters::Meters;
+use crate::platform::Platform;
+use crate::pool::Input;
+use crate::rates::Split;
+use crate::runner;
+use crate::runner::Contacts;
+use crate::runner::PoolHandle;
+use crate::runner::Probe;
+use crate::tenure::Tenure;
+use crate::wire::Wire;
+
+/// Time between two looks at the primaries.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Age of the belief up to which this vm acts as an authority: others may have joined since.
+const AUTHORITY_AGE: Duration = Duration::from_millis(2_500);
+
+/// What the steward works with.
+pub(super) struct Parts {
+    pub(super) me: VmName,
+    pub(super) board: Arc<Board>,
+    pub(super) desk: Arc<Desk>,
+    pub(super) links: Arc<Links>,
+    pub(super) tenure: Arc<Tenure>,
+    pub(super) platform: Arc<dyn Platform>,
+    pub(super) meters: Arc<Meters>,
+    pub(super) timer: Timer,
+}
+
+/// One group as the steward sees it.
+struct Ward {
+    pool: PoolHandle,
+    succession: Succession,
+    home: bool,
+}
+
+/// Divides the work among vms, as far as this one is concerned.
+#[derive(Actor)]
+pub(crate) struct Steward {
+    parts: Arc<Parts>,
+    start_pool: fn(GroupName, &Parts) -> PoolHandle,
+    wards: BTreeMap<GroupName, Ward>,
+}
+
+/// Starts the steward of a vm.
+pub(super) fn start<W: Wire>(parts: Parts) -> ActorRef<Steward> {
+    let mut ticks = parts.timer.every(LOOK_EVERY);
+    let steward = Steward::spawn(Steward {
+        parts: Arc::new(parts),
+        start_pool: |group, parts| {
+            let desk = Arc::clone(&parts.desk);
+            runner::start::<W>(group, desk, Arc::clone(&parts.meters), &parts.timer)
+        },
+        wards: BTreeMap::new(),
+    });
+    let ticked = steward.clone();
+    tokio::spawn(async move {
+        while ticks.recv().await.is_some() {
+            if ticked.tell(Look).await.is_err() {
+                return;
+            }
+        }
+    });
+    steward
+}
+
+/// Returns the state of the vm for a dump.
+pub(super) async fn dump(steward: &ActorRef<Steward>) -> Value {
+    match steward.ask(Dump).await {
+        Ok(Shown(state)) => state,
+        Err(e) => json!({ "error": e.to_string() }),
+    }
+}
+
+/// A new belief is in force.
+pub(super) struct Surveyed;
+
+/// Time to look at the primaries.
+struct Look;
+
+/// Contacts of a pool with its upstreams.
+struct Seen(GroupName, Contacts);
+
+/// What became of a step of a succession.
+pub(super) struct Happened(GroupName, Event);
+
+/// Request for the state of the vm.
+struct Dump;
+
+/// State of the vm.
+#[derive(Reply)]
+struct Shown(Value);
+
+impl Message<Surveyed> for Steward {
+    type Reply = ();
+
+    async fn handle(&mut self, _msg: Surveyed, _ctx: &mut Context<Self, ()>) {
+        if let Some(belief) = self.parts.board.belief() {
+            self.take_over(&belief);
+        }
+    }
+}
+
+impl Message<Look> for Steward {
+    type Reply = ();
+
+    async fn handle(&mut self, _msg: Look, ctx: &mut Context<Self, ()>) {
+        self.hold_accounts();
+        for (group, ward) in self.wards.iter().filter(|(_, ward)| ward.home) {
+            let (reply, contacts) = oneshot::channel();
+            if ward.pool.probes.send(Probe::Contacts(reply)).is_err() {
+                tracing::error!(event = "pool_gone", group = %group);
+                continue;
+            }
+            let steward = ctx.actor_ref().clone();
+            let group = group.clone();
+            tokio::spawn(async move {
+                if let Ok(contacts) = contacts.await
+                    && steward.tell(Seen(group, contacts)).await.is_err()
+                {
+                    tracing::debug!(event = "steward_gone");
+                }
+            });
+        }
+    }
+}
+
+impl Message<Seen> for Steward {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Seen, ctx: &mut Context<Self, ()>) {
+        let Seen(group, contacts) = msg;
+        let Some(ward) = self.wards.get_mut(&group).filter(|ward| ward.home) else {
+            return;
+        };
+        let now = Moment::now();
+        let action = ward
+            .succession
+            .tick(contacts.lead.as_ref(), &contacts.upstreams, now);
+        if let Some(action) = action {
+            self.act(&group, action, Some(&contacts), ctx.actor_ref());
+        }
+    }
+}
+
+impl Message<Happened> for Steward {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Happened, ctx: &mut Context<Self, ()>) {
+        let Happened(group, event) = msg;
+        let Some(ward) = self.wards.get_mut(&group) else {
+            return;
+        };
+        let action = ward.succession.handle(event, Moment::now());
+        tracing::info!(event = "succession_step", group = %group, happened = ?event, next = ?action);
+        if let Some(action) = action {
+            self.act(&group, action, None, ctx.actor_ref());
+        }
+    }
+}
+
+impl Message<Dump> for Steward {
+    type Reply = Shown;
+
+    async fn handle(&mut self, _msg: Dump, _ctx: &mut Context<Self, Shown>) -> Shown {
+        let now = Moment::now();
+        let mut pools = BTreeMap::new();
+        for (group, ward) in &self.wards {
+            let (reply, view) = oneshot::channel();
+            if ward.pool.probes.send(Probe::View(reply)).is_ok()
+                && let Ok(view) = view.await
+            {
+                pools.insert(group.clone(), view);
+            }
+        }
+        let belief = self.parts.board.belief();
+        Shown(json!({
+            "vm": self.parts.me,
+            "lease_holds": self.parts.tenure.holds(now),
+            "configuration_version": belief.as_ref().map(|b| b.survey.configuration.version),
+            "belief_age_ms": belief.as_ref().map(|b| b.age(now).as_millis()),
+            "members": belief.as_ref().map(|b| b.survey.members.clone()),
+            "pools": pools,
+        }))
+    }
+}
+
+impl Steward {
+    /// Brings pools and rates in line with a belief.
+    fn take_over(&mut self, belief: &Belief) {
+        let survey = &belief.survey;
+        let caretaker: Option<AccountName> = survey.configuration.accounts.keys().next().cloned();
+        for (group, limits) in &survey.configuration.groups {
+            let ranking = group_ranking(
+                &survey.members,
+                survey.configuration.groups.keys(),
+                group,
+            );
+            let rank = ranking.iter().position(|m| m.vm == self.parts.me);
+            let connections = rank.map_or(0, |rank| {
+                share(rank, ranking.len(), limits.connections)
+            });
+            let home = rank == Some(0);
+            let ward = self.ward(group);
+            if ward.home != home {
+                tracing::info!(event = "home_changed", group = %group, home, rank, connections);
+                ward.home = home;
+                ward.succession = Succession::new();
+            }
+            let upstreams = survey.upstreams.get(group).cloned().unwrap_or_default();
+            let inputs = [
+                Input::Upstreams(upstreams),
+                Input::Share {
+                    connections,
+                    home,
+                    caretaker: caretaker.clone(),
+                },
+            ];
+            for input in inputs {
+                if ward.pool.inbox.send(input).is_err() {
+                    tracing::error!(event = "pool_gone", group = %group);
+                }
+            }
+        }
+        self.hold_accounts();
+    }
+
+    fn ward(&mut self, group: &GroupName) -> &mut Ward {
+        let parts = &self.parts;
+        let start_pool = self.start_pool;
+        self.wards.entry(group.clone()).or_insert_with(|| {
+            let pool = start_pool(group.clone(), parts);
+            parts.desk.add_pool(group.clone(), pool.inbox.clone());
+            Ward {
+                pool,
+                succession: Succession::new(),
+                home: false,
+            }
+        })
+    }
+
+    /// Grants the rates of the accounts that this vm is the authority of, while that is certain.
+    fn hold_accounts(&self) {
+        let now = Moment::now();
+        let Some(belief) = self.parts.board.belief() else {
+            return;
+        };
+        let certain = self.parts.tenure.holds(now) && belief.age(now) < AUTHORITY_AGE;
+        let survey = &belief.survey;
+        let me = &self.parts.me;
+        let holds = |account: &AccountName| {
+            certain && authority(&survey.members, account).is_some_and(|m| m.vm == *me)
+        };
+        self.parts.desk.authority(|rates| {
+            rates.retain(holds);
+            for (account, rate) in &survey.configuration.accounts {
+                if holds(account) {
+                    rates.hold(account, Split::new(*rate, survey.members.len()), now);
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/work.rs
@@ -0,0 +1,20 @@
+//! Statements and what they need, independent of any wire protocol.
+
+mod answer;
+mod code;
+mod guarantee;
+mod log_position;
+mod setting;
+mod statement;
+mod unit;
+
+pub use answer::Answer;
+pub use answer::TransactionState;
+pub use code::Code;
+pub use guarantee::Guarantee;
+pub use log_position::LogPosition;
+pub use setting::Setting;
+pub use statement::Shape;
+pub use statement::Statement;
+pub use statement::Verb;
+pub use unit::Unit;
--- /dev/null
+++ b/crates/proxy/src/work/answer.rs
@@ -0,0 +1,60 @@
+//! Answer of an upstream to one statement.
+
+use crate::work::Code;
+use crate::work::LogPosition;
+
+/// State of a connection's transaction after an answer.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration,
+)]
+#[repr(i32)]
+pub enum TransactionState {
+    /// No transaction is open.
+    Idle = 0,
+    /// A transaction is open.
+    Open = 1,
+    /// The transaction has failed and can only be rolled back.
+    Failed = 2,
+}
+
+/// Whole answer to one statement.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Answer {
+    /// Rows in order.
+    #[prost(string, repeated, tag = "1")]
+    pub rows: Vec<String>,
+    /// Signature of the upstream that ran the statement; none when it failed.
+    #[prost(string, optional, tag = "2")]
+    pub signature: Option<String>,
+    /// Why the statement failed; none when it succeeded.
+    #[prost(enumeration = "Code", optional, tag = "3")]
+    pub code: Option<i32>,
+    /// Text of the failure, for people.
+    #[prost(string, tag = "4")]
+    pub text: String,
+    /// State of the transaction afterwards.
+    #[prost(enumeration = "TransactionState", tag = "5")]
+    pub state: i32,
+    /// Log position of the upstream afterwards.
+    #[prost(message, optional, tag = "6")]
+    pub position: Option<LogPosition>,
+}
+
+impl Answer {
+    /// Returns the answer to a statement that failed.
+    pub fn failed(code: Code, text: impl Into<String>, state: TransactionState) -> Self {
+        Self {
+            code: Some(code.into()),
+            text: text.into(),
+            state: state.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Returns why the statement failed, if it did.
+    #[must_use]
+    pub fn failure(&self) -> Option<Code> {
+        self.code
+            .map(|code| Code::try_from(code).unwrap_or(Code::Failed))
+    }
+}
