Grant an account's rate from three vms, and none without asking

Cause: half of each rate lay with the vms in equal parts, and what idle vms held was lost. Change: up to three authorities with an equal part each; tokens are asked for ahead only in bulk.

--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -163,6 +163,7 @@
 
     fn draw(&self, account: &AccountName, want: u64) -> Drawn {
         let grant = lock(&self.authority).grant(account, want, Moment::now());
+        tracing::trace!(event = "tokens_drawn", account = %account, want, grant = ?grant);
         match grant {
             Some(grant) => Drawn {
                 held: true,
--- a/crates/proxy/src/entry/admission.rs
+++ b/crates/proxy/src/entry/admission.rs
@@ -40,8 +40,13 @@
     KeyRefused,
     /// The configuration has not been confirmed for too long, or was never read.
     NotCurrent(Option<Duration>),
-    /// The account's rate is spent; a token may be had after this many milliseconds.
-    RateSpent(u32),
+    /// The account's rate is spent.
+    RateSpent {
+        /// The account.
+        account: AccountName,
+        /// Time after which a token may be had, in milliseconds.
+        retry_ms: u32,
+    },
 }
 
 impl Denial {
@@ -51,7 +56,7 @@
         match self {
             Self::RouteUnknown => Code::RouteUnknown,
             Self::KeyRefused => Code::KeyRefused,
-            Self::NotCurrent(_) | Self::RateSpent(_) => Code::Busy,
+            Self::NotCurrent(_) | Self::RateSpent { .. } => Code::Busy,
         }
     }
 
@@ -62,7 +67,16 @@
             Self::RouteUnknown => "no such route".to_owned(),
             Self::KeyRefused => "key refused".to_owned(),
             Self::NotCurrent(_) => Refusal::new(Cause::NotCurrent, NOT_CURRENT_PAUSE_MS).text(),
-            Self::RateSpent(retry) => Refusal::new(Cause::RateSpent, *retry).text(),
+            Self::RateSpent { retry_ms, .. } => Refusal::new(Cause::RateSpent, *retry_ms).text(),
+        }
+    }
+
+    /// Returns the account whose rate is spent.
+    #[must_use]
+    pub fn account(&self) -> Option<&AccountName> {
+        match self {
+            Self::RateSpent { account, .. } => Some(account),
+            _ => None,
         }
     }
 
@@ -73,7 +87,7 @@
             Self::RouteUnknown => "route_unknown",
             Self::KeyRefused => "key_refused",
             Self::NotCurrent(_) => "not_current",
-            Self::RateSpent(_) => "rate_spent",
+            Self::RateSpent { .. } => "rate_spent",
         }
     }
 }
--- a/crates/proxy/src/entry/purses.rs
+++ b/crates/proxy/src/entry/purses.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::VmName;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::board::Board;
 use crate::clock::Moment;
-use crate::configuration::Account;
-use crate::fleet::authority;
+use crate::fleet::Member;
+use crate::fleet::authorities;
 use crate::link::AskBody;
 use crate::link::Links;
 use crate::link::ReplyBody;
@@ -21,10 +23,9 @@
 use crate::rates::Purse;
 use crate::rates::Split;
 use crate::rates::Take;
-use crate::tenure::Tenure;
 
 /// Longest wait of an operation for tokens: a few round trips between failure domains.
-const DRAW_WAIT: Duration = Duration::from_millis(60);
+const DRAW_WAIT: Duration = Duration::from_millis(40);
 /// Pause that a session is asked to make when the authority named none.
 const DEFAULT_RETRY_MS: u32 = 200;
 
@@ -32,8 +33,6 @@
 #[derive(Debug)]
 struct Slot {
     purse: Purse,
-    /// What the purse was last divided by.
-    basis: (Account, usize),
     answered: Arc<Notify>,
     retry_ms: u32,
 }
@@ -42,20 +41,20 @@
 #[derive(Debug)]
 pub struct Purses {
     slots: Mutex<BTreeMap<AccountName, Slot>>,
+    me: VmName,
     board: Arc<Board>,
     links: Arc<Links>,
-    tenure: Arc<Tenure>,
 }
 
 impl Purses {
     /// Creates the tokens of a vm: none.
     #[must_use]
-    pub fn new(board: Arc<Board>, links: Arc<Links>, tenure: Arc<Tenure>) -> Self {
+    pub fn new(me: VmName, board: Arc<Board>, links: Arc<Links>) -> Self {
         Self {
             slots: Mutex::default(),
+            me,
             board,
             links,
-            tenure,
         }
     }
 
@@ -64,53 +63,58 @@
     /// # Errors
     ///
     /// Fails if there is none, with the time in milliseconds after which one may be had.
-    pub async fn take(self: &Arc<Self>, account: &AccountName, rate: Account) -> Result<(), u32> {
-        let (taken, answered) = self.try_take(account, rate, true);
-        self.draw(account);
-        if taken == Take::Spent {
-            return Ok(());
-        }
-        let waited = tokio::time::timeout(DRAW_WAIT, answered.notified()).await;
-        let (taken, _) = self.try_take(account, rate, false);
-        if taken == Take::Spent {
-            return Ok(());
+    pub async fn take(self: &Arc<Self>, account: &AccountName) -> Result<(), u32> {
+        let until = Instant::now() + DRAW_WAIT;
+        let (mut taken, answered) = self.try_take(account, true);
+        self.draw(account, taken == Take::Wait);
+        while taken == Take::Wait {
+            if tokio::time::timeout_at(until, answered.notified()).await.is_err() {
+                return Err(self.retry_after(account));
+            }
+            taken = self.try_take(account, false).0;
+            if taken == Take::Spent {
+                break;
+            }
+            let retry = self.retry_after(account);
+            let again = Instant::now() + Duration::from_millis(retry.into());
+            if again >= until {
+                return Err(retry);
+            }
+            tokio::time::sleep_until(again).await;
+            taken = self.try_take(account, false).0;
+            self.draw(account, taken == Take::Wait);
         }
-        let retry = lock(&self.slots)
+        Ok(())
+    }
+
+    fn retry_after(&self, account: &AccountName) -> u32 {
+        lock(&self.slots)
             .get(account)
-            .map_or(DEFAULT_RETRY_MS, |slot| slot.retry_ms);
-        tracing::debug!(event = "rate_spent", account = %account, answered = waited.is_ok(), retry_ms = retry);
-        Err(retry)
+            .map_or(DEFAULT_RETRY_MS, |slot| slot.retry_ms)
     }
 
-    fn try_take(&self, account: &AccountName, rate: Account, first: bool) -> (Take, Arc<Notify>) {
+    fn try_take(&self, account: &AccountName, first: bool) -> (Take, Arc<Notify>) {
         let now = Moment::now();
-        let vms = self.board.belief().map_or(1, |b| b.survey.members.len());
-        let entitled = self.tenure.holds(now);
         let mut slots = lock(&self.slots);
         let slot = slots.entry(account.clone()).or_insert_with(|| Slot {
-            purse: Purse::new(Split::new(rate, vms), now),
-            basis: (rate, vms),
+            purse: Purse::new(now),
             answered: Arc::new(Notify::new()),
             retry_ms: DEFAULT_RETRY_MS,
         });
-        if slot.basis != (rate, vms) {
-            slot.basis = (rate, vms);
-            slot.purse.resize(Split::new(rate, vms), now);
-        }
         let taken = if first {
-            slot.purse.take(entitled, now)
+            slot.purse.take(now)
         } else {
-            slot.purse.take_again(entitled, now)
+            slot.purse.take_again(now)
         };
         (taken, Arc::clone(&slot.answered))
     }
 
     /// Asks the authority for tokens, if it is time to.
-    fn draw(self: &Arc<Self>, account: &AccountName) {
+    fn draw(self: &Arc<Self>, account: &AccountName, needed: bool) {
         let now = Moment::now();
         let want = lock(&self.slots)
             .get_mut(account)
-            .and_then(|slot| slot.purse.ask(now));
+            .and_then(|slot| slot.purse.ask(needed, now));
         let Some(want) = want else {
             return;
         };
@@ -122,9 +126,33 @@
         });
     }
 
+    /// Asks the authorities in turn until one grants something.
+    ///
+    /// Each vm begins with another, so that their parts are spent evenly.
     async fn ask(&self, account: &AccountName, want: u64) -> Option<Drawn> {
         let belief = self.board.belief()?;
-        let member = authority(&belief.survey.members, account)?;
+        let survey = &belief.survey;
+        let rate = survey.configuration.accounts.get(account)?;
+        let split = Split::new(*rate, survey.members.len());
+        let mut asked = authorities(&survey.members, account, split.authorities);
+        let own = survey.members.iter().position(|m| m.vm == self.me);
+        let first = own.unwrap_or(0) % asked.len().max(1);
+        asked.rotate_left(first);
+        let mut best: Option<Drawn> = None;
+        for member in asked {
+            let Some(drawn) = self.ask_one(account, member, want).await else {
+                continue;
+            };
+            if drawn.amount > 0 {
+                return Some(drawn);
+            }
+            let sooner = best.is_none_or(|known| drawn.retry_ms < known.retry_ms);
+            best = if sooner { Some(drawn) } else { best };
+        }
+        best
+    }
+
+    async fn ask_one(&self, account: &AccountName, member: &Member, want: u64) -> Option<Drawn> {
         let link = self.links.to(&member.vm, member.address).await?;
         let draw = Draw {
             account: account.as_str().to_owned(),
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -5,6 +5,6 @@
 
 pub use member::Incarnation;
 pub use member::Member;
-pub use ranking::authority;
+pub use ranking::authorities;
 pub use ranking::group_ranking;
 pub use ranking::share;
--- a/crates/proxy/src/fleet/ranking.rs
+++ b/crates/proxy/src/fleet/ranking.rs
@@ -39,12 +39,16 @@
     ranked
 }
 
-/// Returns the vm that grants an account's rate.
+/// Returns the vms that grant an account's rate, at most `count`.
 #[must_use]
-pub fn authority<'a>(members: &'a [Member], account: &AccountName) -> Option<&'a Member> {
-    ranked(members, "account", account.as_str())
-        .into_iter()
-        .next()
+pub fn authorities<'a>(
+    members: &'a [Member],
+    account: &AccountName,
+    count: usize,
+) -> Vec<&'a Member> {
+    let mut ranked = ranked(members, "account", account.as_str());
+    ranked.truncate(count);
+    ranked
 }
 
 /// Returns how many connections the vm at `rank` may hold at each upstream of a group.
--- a/crates/proxy/src/rates.rs
+++ b/crates/proxy/src/rates.rs
@@ -1,9 +1,9 @@
 //! Rates of accounts over the whole fleet.
 //!
-//! Half of an account's rate and burst is its vms' own, in equal parts. The other half is granted by
-//! one vm, the account's authority, which counts a token as spent when it grants it. Grants lapse
-//! after [`GRANT_TERM`], and the authority's burst is smaller by what may accrue in that time, so that
-//! no window holds more than the burst and the rate.
+//! Rate and burst are granted by up to three vms, the account's authorities, each an equal part. Parts
+//! that vms hold without asking were tried: what the idle ones held was lost to the account. An
+//! authority counts a token as spent when it grants it. Grants lapse after [`GRANT_TERM`], and an authority's burst is smaller by what may
+//! accrue in that time, so that no window holds more than the burst and the rate.
 
 mod authority;
 mod purse;
--- a/crates/proxy/src/rates/purse.rs
+++ b/crates/proxy/src/rates/purse.rs
@@ -3,17 +3,17 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use mustardbay_policy::account::Bucket;
 use mustardbay_policy::account::TOKEN;
 
 use crate::clock::Moment;
 use crate::rates::GRANT_TERM;
-use crate::rates::Split;
 
 /// Time of demand that is asked for at a time.
 const ASK_AHEAD: Duration = Duration::from_millis(250);
 /// Time of demand below which more is asked for.
 const ASK_BELOW: Duration = Duration::from_millis(100);
+/// Least demand, over the time that is asked for, from which tokens are asked for ahead.
+const LEAST_AHEAD: u64 = 3 * TOKEN;
 /// Time over which demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_secs(1);
 /// Time after which a question without an answer is asked again.
@@ -31,7 +31,6 @@
 /// Tokens of one account on one vm.
 #[derive(Debug)]
 pub struct Purse {
-    own: Bucket,
     /// Granted amounts with the moment at which each lapses.
     granted: VecDeque<(Moment, u64)>,
     /// Operations a second, averaged.
@@ -41,11 +40,10 @@
 }
 
 impl Purse {
-    /// Creates a purse whose own part starts empty, since a former life may just have spent it.
+    /// Creates an empty purse.
     #[must_use]
-    pub fn new(split: Split, now: Moment) -> Self {
+    pub fn new(now: Moment) -> Self {
         Self {
-            own: Bucket::empty(split.own_rate, split.own_burst, now.since_boot()),
             granted: VecDeque::new(),
             demand: 0.0,
             demand_at: now,
@@ -53,26 +51,14 @@
         }
     }
 
-    /// Takes over another rate or another size of the fleet.
-    pub fn resize(&mut self, split: Split, now: Moment) {
-        self.own.advance(now.since_boot());
-        self.own.resize(split.own_rate, split.own_burst);
-    }
-
-    /// Spends a token, the vm's own first.
-    ///
-    /// `entitled` tells whether the vm's lease, and with it its own part, is in force.
-    pub fn take(&mut self, entitled: bool, now: Moment) -> Take {
+    /// Spends a token for a new operation.
+    pub fn take(&mut self, now: Moment) -> Take {
         self.count(now);
-        self.take_again(entitled, now)
+        self.take_again(now)
     }
 
     /// Spends a token for an operation that was counted before.
-    pub fn take_again(&mut self, entitled: bool, now: Moment) -> Take {
-        self.own.advance(now.since_boot());
-        if entitled && self.own.take(TOKEN) {
-            return Take::Spent;
-        }
+    pub fn take_again(&mut self, now: Moment) -> Take {
         self.drop_lapsed(now);
         let Some((_, amount)) = self.granted.front_mut() else {
             return Take::Wait;
@@ -85,19 +71,23 @@
     }
 
     /// Returns the amount to ask the authority for, if it is time to ask.
-    pub fn ask(&mut self, now: Moment) -> Option<u64> {
+    ///
+    /// Tokens are asked for ahead only where several are spent before they lapse; else each would
+    /// be granted twice, once to lapse. `needed` tells that an operation waits for one.
+    pub fn ask(&mut self, needed: bool, now: Moment) -> Option<u64> {
         if self.asked.is_some_and(|at| now.since(at) < ASK_TIMEOUT) {
             return None;
         }
         self.drop_lapsed(now);
         let held: u64 = self.granted.iter().map(|(_, amount)| amount).sum();
-        let held = held + self.own.tokens();
+        let ahead = self.demand_over(ASK_AHEAD);
         let low = self.demand_over(ASK_BELOW).max(TOKEN);
-        if held >= low {
+        let wanted = needed || (ahead >= LEAST_AHEAD && held < low);
+        if !wanted || held >= low {
             return None;
         }
         self.asked = Some(now);
-        let want = self.demand_over(ASK_AHEAD).max(TOKEN);
+        let want = ahead.max(TOKEN);
         Some(want.saturating_sub(held).div_ceil(TOKEN) * TOKEN)
     }
 
@@ -126,6 +116,6 @@
         reason = "demand is a small positive number"
     )]
     fn demand_over(&self, time: Duration) -> u64 {
-        (self.demand * time.as_secs_f64()).ceil() as u64 * TOKEN
+        (self.demand * time.as_secs_f64() * TOKEN as f64) as u64
     }
 }
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mustardbay_policy::names::AccountName;
 use mustardbay_policy::names::RouteName;
 use mustardbay_policy::position::Position;
 
@@ -198,9 +199,12 @@
     /// Admits an operation: currency, route, key, rate.
     async fn admit(&self) -> Result<Admitted, Denial> {
         let admitted = self.look_up()?;
-        if let Some(rate) = admitted.rate {
-            let taken = self.entry.purses.take(&admitted.account, rate).await;
-            taken.map_err(Denial::RateSpent)?;
+        if admitted.rate.is_some() {
+            let taken = self.entry.purses.take(&admitted.account).await;
+            taken.map_err(|retry_ms| Denial::RateSpent {
+                account: admitted.account.clone(),
+                retry_ms,
+            })?;
         }
         // The wait for tokens may have outlasted the proof that the key is in force.
         self.look_up()
@@ -355,7 +359,7 @@
         let belief = self.entry.board.belief();
         let version = belief.as_ref().map(|b| b.survey.configuration.version.0);
         let age = belief.map(|b| millis(b.age(Moment::now())));
-        tracing::info!(event = "operation_denied", request, session = self.number, route = %self.route,
+        tracing::info!(event = "operation_denied", request, account = denial.account().map(AccountName::as_str), session = self.number, route = %self.route,
             cause = denial.name(), version, age_ms = age);
         answer::error(denial.code(), denial.text(), state)
     }
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -76,9 +76,9 @@
     let link_listener = socket::listen(settings.listen.link)?;
     tokio::spawn(link::serve(link_listener, Arc::clone(&desk)));
     let purses = Purses::new(
+        settings.vm.clone(),
         Arc::clone(&board),
         Arc::clone(&links),
-        Arc::clone(&tenure),
     );
     let entry = Arc::new(Entry {
         vm: settings.vm.clone(),
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -24,7 +24,7 @@
 use crate::board::Board;
 use crate::clock::Moment;
 use crate::desk::Desk;
-use crate::fleet::authority;
+use crate::fleet::authorities;
 use crate::fleet::group_ranking;
 use crate::fleet::share;
 use crate::group::Event;
@@ -279,15 +279,18 @@
         let certain = self.parts.tenure.holds(now) && belief.age(now) < AUTHORITY_AGE;
         let survey = &belief.survey;
         let me = &self.parts.me;
-        let holds = |account: &AccountName| {
-            certain && authority(&survey.members, account).is_some_and(|m| m.vm == *me)
-        };
+        let mut held: BTreeMap<&AccountName, Split> = BTreeMap::new();
+        for (account, rate) in &survey.configuration.accounts {
+            let split = Split::new(*rate, survey.members.len());
+            let authorities = authorities(&survey.members, account, split.authorities);
+            if certain && authorities.iter().any(|m| m.vm == *me) {
+                held.insert(account, split);
+            }
+        }
         self.parts.desk.authority(|rates| {
-            rates.retain(holds);
-            for (account, rate) in &survey.configuration.accounts {
-                if holds(account) {
-                    rates.hold(account, Split::new(*rate, survey.members.len()), now);
-                }
+            rates.retain(|account| held.contains_key(account));
+            for (account, split) in held {
+                rates.hold(account, split, now);
             }
         });
     }
