Tell a lost answer from a lost upstream, and order the queue by what can still be on time

Changes: only a failed opening pauses an upstream; an authority has 60 ms to answer and is then passed over for 500 ms; a replica's lag is estimated from its answers; late units go behind those on time of their priority and are refused once they are crowded out.

--- a/crates/proxy/src/entry/purses.rs
+++ b/crates/proxy/src/entry/purses.rs
@@ -24,8 +24,14 @@
 use crate::rates::Split;
 use crate::rates::Take;
 
-/// Longest wait of an operation for tokens: a few round trips between failure domains.
-const DRAW_WAIT: Duration = Duration::from_millis(40);
+/// Longest wait for one authority: a round trip between regions and the time to answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time for which an authority that did not answer is not asked.
+const AVOID: Duration = Duration::from_millis(500);
+/// Longest wait of an operation for its authorities' answers.
+const DRAW_WAIT: Duration = Duration::from_millis(150);
+/// Longest wait of an operation for a bucket to fill; beyond it is refused.
+const REFILL_WAIT: Duration = Duration::from_millis(40);
 /// Pause that a session is asked to make when the authority named none.
 const DEFAULT_RETRY_MS: u32 = 200;
 
@@ -41,6 +47,8 @@
 #[derive(Debug)]
 pub struct Purses {
     slots: Mutex<BTreeMap<AccountName, Slot>>,
+    /// Authorities that did not answer, and when.
+    silent: Mutex<BTreeMap<VmName, Instant>>,
     me: VmName,
     board: Arc<Board>,
     links: Arc<Links>,
@@ -52,6 +60,7 @@
     pub fn new(me: VmName, board: Arc<Board>, links: Arc<Links>) -> Self {
         Self {
             slots: Mutex::default(),
+            silent: Mutex::default(),
             me,
             board,
             links,
@@ -76,11 +85,11 @@
                 break;
             }
             let retry = self.retry_after(account);
-            let again = Instant::now() + Duration::from_millis(retry.into());
-            if again >= until {
+            let pause = Duration::from_millis(retry.into());
+            if pause > REFILL_WAIT || Instant::now() + pause >= until {
                 return Err(retry);
             }
-            tokio::time::sleep_until(again).await;
+            tokio::time::sleep(pause).await;
             taken = self.try_take(account, false).0;
             self.draw(account, taken == Take::Wait);
         }
@@ -140,7 +149,15 @@
         asked.rotate_left(first);
         let mut best: Option<Drawn> = None;
         for member in asked {
-            let Some(drawn) = self.ask_one(account, member, want).await else {
+            if self.is_avoided(&member.vm) {
+                continue;
+            }
+            let ask = self.ask_one(account, member, want);
+            let Ok(drawn) = tokio::time::timeout(ASK_TIMEOUT, ask).await else {
+                self.avoid(&member.vm);
+                continue;
+            };
+            let Some(drawn) = drawn else {
                 continue;
             };
             if drawn.amount > 0 {
@@ -152,6 +169,17 @@
         best
     }
 
+    fn is_avoided(&self, vm: &VmName) -> bool {
+        let silent = lock(&self.silent);
+        silent.get(vm).is_some_and(|at| at.elapsed() < AVOID)
+    }
+
+    /// Leaves an authority that did not answer alone for a while.
+    fn avoid(&self, vm: &VmName) {
+        tracing::info!(event = "authority_silent", vm = %vm);
+        lock(&self.silent).insert(vm.clone(), Instant::now());
+    }
+
     async fn ask_one(&self, account: &AccountName, member: &Member, want: u64) -> Option<Drawn> {
         let link = self.links.to(&member.vm, member.address).await?;
         let draw = Draw {
--- a/crates/proxy/src/pool/dispatch.rs
+++ b/crates/proxy/src/pool/dispatch.rs
@@ -75,7 +75,7 @@
 impl Pool {
     /// Takes a unit in, or refuses it at once if it cannot be served in time.
     pub(super) fn offer(&mut self, ticket: TicketId, unit: Unit, now: Moment) {
-        let due = now.after(Duration::from_millis(unit.objective_ms.into()));
+        let due = now.after(unit.objective());
         let rank = Rank {
             priority: unit.priority,
             due,
@@ -174,8 +174,7 @@
         }
         let mut loads = self.loads();
         self.dispatch_held(&mut loads, now);
-        let ranked: Vec<TicketId> = self.waiting.values().copied().collect();
-        for ticket in ranked {
+        for ticket in self.in_order(now) {
             if !self.has_room(&loads, now) {
                 return;
             }
@@ -185,6 +184,23 @@
         }
     }
 
+    /// Returns the waiting units, best first: by priority, then those that can still meet their
+    /// objective, then by the moment by which they should be served.
+    fn in_order(&self, now: Moment) -> Vec<TicketId> {
+        let mut order: Vec<(u32, bool, Rank, TicketId)> = self
+            .waiting
+            .iter()
+            .map(|(rank, ticket)| (rank.priority, self.is_late(*rank, now), *rank, *ticket))
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(.., ticket)| ticket).collect()
+    }
+
+    /// Tells whether a unit can no longer meet its objective.
+    pub(super) fn is_late(&self, rank: Rank, now: Moment) -> bool {
+        now.after(self.service) > rank.due
+    }
+
     fn dispatch_held(&mut self, loads: &mut BTreeMap<UpstreamName, Load>, now: Moment) {
         for ticket in std::mem::take(&mut self.held) {
             let Some(job) = self.jobs.get(&ticket) else {
@@ -294,7 +310,8 @@
         match need {
             Need::Lead => leads,
             Need::Position(floor) => {
-                !job.tried.contains(name) && (leads || upstream.may_hold(floor, now))
+                let age = self.horizon.age_of(floor, now);
+                !job.tried.contains(name) && (leads || upstream.probably_holds(floor, age, now))
             }
         }
     }
@@ -483,7 +500,7 @@
         if slots == 0 {
             return Some(Refusal::new(Cause::NoUpstream, millis(PROMOTION_PAUSE)));
         }
-        let ahead = self.ahead(needs_lead, rank);
+        let ahead = self.ahead(needs_lead, rank, now);
         let wait = self.service * ahead / slots;
         let left = unit.left().saturating_sub(self.service);
         (wait > left)
@@ -504,10 +521,11 @@
         usable.map(|(_, upstream)| upstream.registration.slots).sum()
     }
 
-    fn ahead(&self, needs_lead: bool, rank: Rank) -> u32 {
-        let before = self.waiting.range(..rank).filter(|(_, ticket)| {
+    fn ahead(&self, needs_lead: bool, rank: Rank, now: Moment) -> u32 {
+        let before = self.waiting.range(..rank).filter(|(other, ticket)| {
             let job = self.jobs.get(ticket);
-            job.is_some_and(|job| !needs_lead || job.unit.needs_primary())
+            let competes = job.is_some_and(|job| !needs_lead || job.unit.needs_primary());
+            competes && !(other.priority == rank.priority && self.is_late(**other, now))
         });
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
--- a/crates/proxy/src/pool/horizon.rs
+++ b/crates/proxy/src/pool/horizon.rs
@@ -62,6 +62,22 @@
             .map(|(_, position)| *position)
     }
 
+    /// Returns for how long the primary has been beyond a position; zero if it was not seen beyond.
+    pub(super) fn beyond(&self, position: Position, now: Moment) -> Duration {
+        self.samples
+            .iter()
+            .find(|(_, known)| *known > position)
+            .map_or(Duration::ZERO, |(at, _)| now.since(*at))
+    }
+
+    /// Returns the time since the primary reached a position; zero if it was not seen there.
+    pub(super) fn age_of(&self, position: Position, now: Moment) -> Duration {
+        self.samples
+            .iter()
+            .find(|(_, known)| *known >= position)
+            .map_or(Duration::ZERO, |(at, _)| now.since(*at))
+    }
+
     /// Returns the time since the newest sample.
     pub(super) fn age(&self, now: Moment) -> Option<Duration> {
         self.samples.back().map(|(at, _)| now.since(*at))
--- a/crates/proxy/src/pool/reply.rs
+++ b/crates/proxy/src/pool/reply.rs
@@ -62,7 +62,9 @@
                     upstream.contact = now;
                     upstream.full(now);
                 }
-                OpenFailure::Misrouted | OpenFailure::Refused => upstream.failed(now),
+                OpenFailure::Misrouted | OpenFailure::Refused => {
+                    self.fail_upstream(&connection.upstream, now);
+                }
             }
         }
         if let Some(ticket) = connection.ticket {
@@ -149,7 +151,7 @@
             self.send_next(id, now);
             return;
         };
-        self.learn_refusal(&name, code, step.query.after, now);
+        self.learn_refusal(&name, code, now);
         if step.purpose == Purpose::Prepare {
             self.close(id, now);
         } else {
@@ -232,8 +234,7 @@
         let first = job.statement == job.unit.statement;
         let repeatable = code == Code::Failed && job.unit.is_repeatable() && job.attempts < 2;
         let state = answer.state();
-        let after = None;
-        self.learn_refusal(name, code, after, now);
+        self.learn_refusal(name, code, now);
         if code == Code::UnknownStatement
             && let Some(connection) = self.connections.get_mut(&id)
         {
@@ -310,8 +311,8 @@
         let name = connection.upstream.clone();
         if let Some(upstream) = self.upstreams.get_mut(&name) {
             upstream.closed(now);
+            upstream.doubt(now);
         }
-        self.fail_upstream(&name, now);
         let Some(ticket) = connection.ticket else {
             return;
         };
@@ -395,21 +396,9 @@
     }
 
     /// Draws what a refusal says about its upstream.
-    fn learn_refusal(
-        &mut self,
-        name: &UpstreamName,
-        code: Code,
-        after: Option<Position>,
-        now: Moment,
-    ) {
-        match code {
-            Code::ReadOnly => self.lose_lead(name, now),
-            Code::Lagging => {
-                if let (Some(upstream), Some(after)) = (self.upstreams.get_mut(name), after) {
-                    upstream.lacks(after, now);
-                }
-            }
-            _ => {}
+    fn learn_refusal(&mut self, name: &UpstreamName, code: Code, now: Moment) {
+        if code == Code::ReadOnly {
+            self.lose_lead(name, now);
         }
     }
 
@@ -417,9 +406,10 @@
         let Some(upstream) = self.upstreams.get_mut(name) else {
             return;
         };
-        let back = upstream.failing_since.is_some();
-        upstream.answered(position, now);
-        if back {
+        if let Some(position) = position {
+            upstream.lags(self.horizon.beyond(position, now), now);
+        }
+        if upstream.answered(position, now) {
             self.out.push(Output::Note(Note::UpstreamBack(name.clone())));
         }
     }
@@ -428,9 +418,7 @@
         let Some(upstream) = self.upstreams.get_mut(name) else {
             return;
         };
-        let news = upstream.failing_since.is_none();
-        upstream.failed(now);
-        if news {
+        if upstream.failed(now) {
             self.out.push(Output::Note(Note::UpstreamLost(name.clone())));
         }
     }
--- a/crates/proxy/src/pool/upkeep.rs
+++ b/crates/proxy/src/pool/upkeep.rs
@@ -32,8 +32,8 @@
 const OWN_QUERY_TIMEOUT: Duration = Duration::from_millis(800);
 /// Silence after which the home asks an upstream for its status.
 const CONTACT_EVERY: Duration = Duration::from_millis(400);
-/// Time between two status queries while no upstream is known to lead.
-const LEAD_SEARCH_EVERY: Duration = Duration::from_millis(100);
+/// Time between two status queries while no upstream is known to lead, or one is in doubt.
+const DOUBT_EVERY: Duration = Duration::from_millis(100);
 /// Time for which units wait for a lost primary before they are refused.
 const LEAD_WAIT: Duration = Duration::from_millis(300);
 /// Shortest silence after which a read is tried at another upstream.
@@ -154,14 +154,25 @@
                 .lead
                 .missing_since
                 .is_none_or(|since| now.since(since) >= LEAD_WAIT);
+        let on_time = self
+            .waiting
+            .keys()
+            .filter(|rank| !self.is_late(**rank, now))
+            .map(|rank| rank.priority)
+            .min();
         let tickets: Vec<TicketId> = self.waiting.values().copied().collect();
         for ticket in tickets {
             let Some(job) = self.jobs.get(&ticket) else {
                 continue;
             };
-            let late = now.after(self.service) >= job.deadline;
-            let cause = if late {
+            let expired = now.after(self.service) >= job.deadline;
+            let crowded_out = self.is_late(job.rank, now)
+                && on_time.is_some_and(|priority| priority <= job.rank.priority)
+                && now.since(job.arrived) >= job.unit.objective();
+            let cause = if expired {
                 Cause::Expired
+            } else if crowded_out {
+                Cause::Overloaded
             } else if lead_lost && job.unit.needs_primary() {
                 Cause::NoPrimary
             } else {
@@ -292,8 +303,8 @@
             };
             let since_asked = now.since(upstream.asked);
             let silent = now.since(upstream.contact) >= CONTACT_EVERY;
-            let wanted = if searching {
-                since_asked >= LEAD_SEARCH_EVERY
+            let wanted = if searching || upstream.failing_since.is_some() {
+                since_asked >= DOUBT_EVERY
             } else {
                 let doubtful = silent || (stale && lead.as_ref() == Some(&name));
                 doubtful && since_asked >= CONTACT_EVERY
--- a/crates/proxy/src/pool/upstream.rs
+++ b/crates/proxy/src/pool/upstream.rs
@@ -25,8 +25,12 @@
 /// Time after which an upstream that left the list is gone: its entry may lapse in an outage and
 /// come back within two seconds of its end.
 const MISSING: Duration = Duration::from_secs(3);
-/// Age after which a refused position may have been reached.
-const LAG_RECHECK: Duration = Duration::from_millis(40);
+/// Age beyond which a measured lag says nothing.
+const LAG_KEPT: Duration = Duration::from_millis(500);
+/// Share of a measured lag that is added to it, as a divisor, since lags vary.
+const LAG_SPREAD: u32 = 4;
+/// Time that is added to every lag: a way between failure domains.
+const LAG_MARGIN: Duration = Duration::from_millis(2);
 
 /// What an upstream says that it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -75,8 +79,8 @@
     pub(super) registration: Registration,
     /// Position that it has applied.
     pub(super) applied: Option<Position>,
-    /// Position that it lacked, and when.
-    lacked: Option<(Position, Moment)>,
+    /// How far it was behind the primary, and when.
+    lag: Option<(Duration, Moment)>,
     pub(super) sighting: Option<(Sighting, Moment)>,
     /// When it last answered anything.
     pub(super) contact: Moment,
@@ -98,7 +102,7 @@
         Self {
             registration,
             applied: None,
-            lacked: None,
+            lag: None,
             sighting: None,
             contact: now,
             failing_since: None,
@@ -137,8 +141,9 @@
         }
     }
 
-    /// Notes an answer, and the position that it showed.
-    pub(super) fn answered(&mut self, position: Option<Position>, now: Moment) {
+    /// Notes an answer, and the position that it showed; returns whether it had been unreachable.
+    pub(super) fn answered(&mut self, position: Option<Position>, now: Moment) -> bool {
+        let back = self.failures > 0;
         self.contact = now;
         self.failing_since = None;
         self.failures = 0;
@@ -146,14 +151,23 @@
         if position.is_some() {
             self.applied = position;
         }
+        back
     }
 
-    /// Notes that it could not be reached or broke a connection.
-    pub(super) fn failed(&mut self, now: Moment) {
+    /// Notes that it broke a connection, which a lost answer does as well as a crash.
+    ///
+    /// The next connection that is opened tells the two apart.
+    pub(super) fn doubt(&mut self, now: Moment) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Notes that it could not be reached; returns whether that is the first time since it answered.
+    pub(super) fn failed(&mut self, now: Moment) -> bool {
         self.failing_since.get_or_insert(now);
         let pause = FIRST_PAUSE * 2u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
         self.paused_until = now.after(pause.min(LONGEST_PAUSE));
+        self.failures == 1
     }
 
     /// Notes that it has no connection to spare.
@@ -161,9 +175,9 @@
         self.full_until = now.after(FULL_PAUSE);
     }
 
-    /// Notes that it lacked a position.
-    pub(super) fn lacks(&mut self, position: Position, now: Moment) {
-        self.lacked = Some((position, now));
+    /// Notes how far it is behind the primary.
+    pub(super) fn lags(&mut self, lag: Duration, now: Moment) {
+        self.lag = Some((lag, now));
     }
 
     /// Notes that a connection to it was closed.
@@ -192,18 +206,16 @@
         now >= self.full_until && now >= self.paused_until
     }
 
-    /// Tells whether it may hold a position, as far as is known.
-    pub(super) fn may_hold(&self, floor: Position, now: Moment) -> bool {
-        if self.applied.is_some_and(|applied| applied.covers(floor)) {
+    /// Tells whether it probably holds a position that the primary reached `age` ago.
+    pub(super) fn probably_holds(&self, position: Position, age: Duration, now: Moment) -> bool {
+        if self.applied.is_some_and(|applied| applied.covers(position)) {
             return true;
         }
-        !self
-            .lacked
-            .is_some_and(|(lacked, at)| floor >= lacked && now.since(at) < LAG_RECHECK)
-    }
-
-    /// Tells whether it is known to hold a position.
-    pub(super) fn holds(&self, floor: Position) -> bool {
-        self.applied.is_some_and(|applied| applied.covers(floor))
+        match self.lag {
+            Some((lag, at)) if now.since(at) < LAG_KEPT => {
+                age >= lag + lag / LAG_SPREAD + LAG_MARGIN
+            }
+            Some(_) | None => true,
+        }
     }
 }
--- a/crates/proxy/src/work/unit.rs
+++ b/crates/proxy/src/work/unit.rs
@@ -68,6 +68,12 @@
         self.begin.is_none() && self.statement.verb() == Verb::Read
     }
 
+    /// Returns the latency objective that is left.
+    #[must_use]
+    pub fn objective(&self) -> Duration {
+        Duration::from_millis(self.objective_ms.into())
+    }
+
     /// Returns the time that is left for the statement.
     #[must_use]
     pub fn left(&self) -> Duration {
