--- a/crates/process/src/lifecycle.rs
+++ b/crates/process/src/lifecycle.rs
@@ -1,9 +1,11 @@
 //! Life of a process: serving, draining, stopped.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// Shared flags of a process's life; clones see the same life.
@@ -11,6 +13,7 @@
 pub struct Lifecycle {
     ready: Arc<AtomicBool>,
     draining: CancellationToken,
+    drained_at: Arc<OnceLock<Instant>>,
     stopped: CancellationToken,
 }
 
@@ -34,6 +37,7 @@
 
     /// Starts the drain; a second call has no effect.
     pub fn drain(&self) {
+        self.drained_at.get_or_init(Instant::now);
         self.draining.cancel();
     }
 
@@ -43,9 +47,10 @@
         self.draining.is_cancelled()
     }
 
-    /// Waits until the drain starts.
-    pub async fn drained_from_now(&self) {
+    /// Waits until the drain starts and returns when it did.
+    pub async fn drained_from_now(&self) -> Instant {
         self.draining.cancelled().await;
+        *self.drained_at.get_or_init(Instant::now)
     }
 
     /// Marks the process stopped: nothing is in flight any more.
--- a/crates/proxy/src/board.rs
+++ b/crates/proxy/src/board.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwapOption;
 
 use crate::clock::Moment;
+use crate::survey::Stamp;
 use crate::survey::Survey;
 
 /// Survey with the moment at which it was the newest.
@@ -13,6 +14,8 @@
 pub struct Belief {
     /// What the store said.
     pub survey: Survey,
+    /// Stamp of the survey.
+    pub stamp: Stamp,
     /// Moment of asking: what it said was in force then or later.
     pub asked: Moment,
 }
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -20,7 +20,6 @@
 use crate::link::Reply;
 use crate::link::ReplyBody;
 use crate::link::frame::Drawn;
-use crate::link::frame::Ping;
 use crate::link::frame::Reached;
 use crate::link::frame::Surveyed;
 use crate::pool::Cause;
@@ -142,22 +141,21 @@
                 self.reply(link, number, ReplyBody::Drawn(drawn));
             }
             AskBody::Reach(reach) => self.reach(link, number, &reach.address),
-            AskBody::Survey(_) => {
-                let surveyed = self.surveyed();
+            AskBody::Survey(ask) => {
+                let surveyed = self.surveyed(ask.stamp);
                 self.reply(link, number, ReplyBody::Surveyed(surveyed));
             }
-            AskBody::Ping(_) => self.reply(link, number, ReplyBody::Pong(Ping {})),
+            AskBody::Ping(ping) => self.reply(link, number, ReplyBody::Pong(ping)),
         }
     }
 
     fn to_pool(&self, group: &GroupName, ticket: TicketId, input: Input) {
         let pool = lock(&self.pools).get(group).cloned();
-        match pool {
-            Some(pool) => send(&pool, input),
-            None => {
-                let refusal = Refusal::new(Cause::NoUpstream, UNKNOWN_GROUP_PAUSE_MS);
-                self.reply(ticket.link, ticket.number, ReplyBody::Refused(refusal));
-            }
+        if let Some(pool) = pool {
+            send(&pool, input);
+        } else {
+            let refusal = Refusal::new(Cause::NoUpstream, UNKNOWN_GROUP_PAUSE_MS);
+            self.reply(ticket.link, ticket.number, ReplyBody::Refused(refusal));
         }
     }
 
@@ -188,21 +186,28 @@
         });
     }
 
-    fn surveyed(&self) -> Surveyed {
+    /// Returns the newest survey, without its content for a vm that has the same.
+    fn surveyed(&self, known: u64) -> Surveyed {
         let Some(belief) = self.board.belief() else {
             return Surveyed::default();
         };
         let age = belief.age(Moment::now());
+        let mut surveyed = Surveyed {
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            survey: Vec::new(),
+            stamp: belief.stamp.0,
+        };
+        if known == belief.stamp.0 {
+            return surveyed;
+        }
         match serde_json::to_vec(&belief.survey) {
-            Ok(survey) => Surveyed {
-                age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-                survey,
-            },
+            Ok(survey) => surveyed.survey = survey,
             Err(e) => {
                 tracing::error!(event = "survey_not_encoded", error = %e);
-                Surveyed::default()
+                return Surveyed::default();
             }
         }
+        surveyed
     }
 }
 
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -10,6 +10,7 @@
 
 use mustardbay_policy::names::VmName;
 use mustardbay_process::lifecycle::Lifecycle;
+use tokio_util::task::TaskTracker;
 
 pub use admission::Admitted;
 pub use admission::Denial;
@@ -49,4 +50,6 @@
     pub meters: Arc<Meters>,
     /// Bounds of the sessions.
     pub bounds: EntryBounds,
+    /// Sessions that are open.
+    pub sessions: TaskTracker,
 }
--- a/crates/proxy/src/entry/admission.rs
+++ b/crates/proxy/src/entry/admission.rs
@@ -115,13 +115,12 @@
 /// # Errors
 ///
 /// Fails if the configuration has no such route, or the key is not in force.
-pub fn look_up(
-    belief: &Belief,
-    route: &RouteName,
-    key: Option<&Key>,
-) -> Result<Admitted, Denial> {
+pub fn look_up(belief: &Belief, route: &RouteName, key: Option<&Key>) -> Result<Admitted, Denial> {
     let configuration = &belief.survey.configuration;
-    let found = configuration.routes.get(route).ok_or(Denial::RouteUnknown)?;
+    let found = configuration
+        .routes
+        .get(route)
+        .ok_or(Denial::RouteUnknown)?;
     let account = key.and_then(|key| configuration.keys.get(key));
     let account = match account {
         Some(account) => account.clone(),
--- a/crates/proxy/src/entry/listener.rs
+++ b/crates/proxy/src/entry/listener.rs
@@ -6,18 +6,32 @@
 
 use crate::entry::Entry;
 use crate::session;
+use crate::session::LAST_START_PERCENT;
 use crate::socket;
 use crate::wire::Wire;
 
-/// Serves callers until the process ends; a draining vm still takes those that come.
+/// Serves callers until late in the grace: a balancer without another vm still sends them here.
 pub async fn serve<W: Wire>(listener: TcpListener, entry: Arc<Entry>) {
+    let accepting = accept::<W>(listener, &entry);
+    let ending = async {
+        entry.life.drained_from_now().await;
+        tokio::time::sleep(entry.bounds.grace * LAST_START_PERCENT / 100).await;
+    };
+    tokio::select! {
+        () = accepting => {}
+        () = ending => tracing::info!(event = "entry_closed", sessions = entry.sessions.len()),
+    }
+}
+
+async fn accept<W: Wire>(listener: TcpListener, entry: &Arc<Entry>) {
     let mut number = 0_u64;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 number += 1;
                 socket::prepare(&stream);
-                tokio::spawn(session::serve::<W>(stream, number, Arc::clone(&entry)));
+                let session = session::serve::<W>(stream, number, Arc::clone(entry));
+                entry.sessions.spawn(session);
             }
             Err(e) => {
                 tracing::warn!(event = "accept_failed", error = %e);
--- a/crates/proxy/src/entry/purses.rs
+++ b/crates/proxy/src/entry/purses.rs
@@ -77,7 +77,10 @@
         let (mut taken, answered) = self.try_take(account, true);
         self.draw(account, taken == Take::Wait);
         while taken == Take::Wait {
-            if tokio::time::timeout_at(until, answered.notified()).await.is_err() {
+            if tokio::time::timeout_at(until, answered.notified())
+                .await
+                .is_err()
+            {
                 return Err(self.retry_after(account));
             }
             taken = self.try_take(account, false).0;
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -192,11 +192,12 @@
         match reply {
             Ok(ReplyBody::Answer(answer)) => Outcome::Answered(answer),
             Ok(ReplyBody::Refused(refusal)) => Outcome::Answered(aborted(&refusal.text())),
-            Err(LinkError::NotSent) => Outcome::Answered(aborted("the vm was lost")),
             Ok(_) | Err(LinkError::Lost) if commits => {
                 Outcome::in_doubt("the vm that ran the commit was lost")
             }
-            Ok(_) | Err(LinkError::Lost) => Outcome::Answered(aborted("the vm was lost")),
+            Ok(_) | Err(LinkError::Lost | LinkError::NotSent) => {
+                Outcome::Answered(aborted("the vm was lost"))
+            }
         }
     }
 
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -7,4 +7,5 @@
 pub use member::Member;
 pub use ranking::authorities;
 pub use ranking::group_ranking;
+pub use ranking::readers;
 pub use ranking::share;
--- a/crates/proxy/src/fleet/ranking.rs
+++ b/crates/proxy/src/fleet/ranking.rs
@@ -15,6 +15,8 @@
 
 /// Connections at each upstream that no vm is given, for those that are closing.
 const CAP_SLACK: u32 = 2;
+/// Vms that read the store for the others: one may be cut off from it.
+const READERS: usize = 2;
 /// Part of an upstream's connections that vms other than the home hold, in tenths.
 const RESERVE_TENTHS: u32 = 3;
 
@@ -39,6 +41,18 @@
     ranked
 }
 
+/// Returns the vms that read the platform's store for all, at most one of each failure domain.
+#[must_use]
+pub fn readers(members: &[Member]) -> Vec<&Member> {
+    let mut readers: Vec<&Member> = Vec::with_capacity(READERS);
+    for member in ranked(members, "reader", "") {
+        if readers.len() < READERS && readers.iter().all(|r| r.domain != member.domain) {
+            readers.push(member);
+        }
+    }
+    readers
+}
+
 /// Returns the vms that grant an account's rate, at most `count`.
 #[must_use]
 pub fn authorities<'a>(
--- a/crates/proxy/src/group/action.rs
+++ b/crates/proxy/src/group/action.rs
@@ -7,9 +7,7 @@
 use serde::Serialize;
 
 /// Number that grows with each claim of a group's duty; the platform refuses lower ones.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct FencingToken(pub u64);
 
--- a/crates/proxy/src/group/succession.rs
+++ b/crates/proxy/src/group/succession.rs
@@ -94,24 +94,18 @@
                 self.stage = Stage::Claiming;
                 Some(Action::Claim)
             }
-            (Stage::Asking, Event::PeerReaches) => {
-                self.rest(now);
-                None
-            }
             (Stage::Claiming, Event::Claimed(token)) => {
                 self.token = Some(token);
                 self.stage = Stage::Surveying { since: now };
                 Some(Action::Survey)
             }
-            (Stage::Claiming, Event::NotClaimed) => {
-                self.rest(now);
-                None
-            }
             (Stage::Calling { chosen }, Event::Accepted | Event::Unknown) => {
                 self.stage = Stage::Confirming { chosen, since: now };
                 None
             }
-            (Stage::Calling { .. }, Event::Refused) => {
+            (Stage::Asking, Event::PeerReaches)
+            | (Stage::Claiming, Event::NotClaimed)
+            | (Stage::Calling { .. }, Event::Refused) => {
                 self.rest(now);
                 None
             }
--- a/crates/proxy/src/link/client.rs
+++ b/crates/proxy/src/link/client.rs
@@ -256,7 +256,7 @@
                 let patience = if link.is_waiting() { CHECK_EVERY } else { QUIET };
                 if pinged.is_none() && heard.elapsed() >= patience {
                     pinged = Some(Instant::now());
-                    let ping = Ask { number: 0, body: Some(AskBody::Ping(Ping {})) };
+                    let ping = Ask { number: 0, body: Some(AskBody::Ping(Ping { number: 0 })) };
                     if sink.send(ping).await.is_err() { break "write failed" }
                 }
             }
--- a/crates/proxy/src/link/frame.rs
+++ b/crates/proxy/src/link/frame.rs
@@ -59,11 +59,19 @@
 
 /// Question for the newest survey.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct AskSurvey {}
+pub struct AskSurvey {
+    /// Stamp of the survey that the asking vm has; 0 if it has none.
+    #[prost(fixed64, tag = "1")]
+    pub stamp: u64,
+}
 
 /// Check that the link works.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct Ping {}
+pub struct Ping {
+    /// Number that the answer repeats.
+    #[prost(uint32, tag = "1")]
+    pub number: u32,
+}
 
 /// Frame from an entry.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -130,9 +138,12 @@
     /// Time since it was asked for, in milliseconds; at the moment of the reply.
     #[prost(uint64, tag = "1")]
     pub age_ms: u64,
-    /// The survey as JSON; empty if there is none.
+    /// The survey as JSON; empty if the asking vm has the same, or if there is none.
     #[prost(bytes = "vec", tag = "2")]
     pub survey: Vec<u8>,
+    /// Stamp of the survey; 0 if there is none.
+    #[prost(fixed64, tag = "3")]
+    pub stamp: u64,
 }
 
 /// Frame to an entry.
--- a/crates/proxy/src/pool/dispatch.rs
+++ b/crates/proxy/src/pool/dispatch.rs
@@ -449,15 +449,12 @@
             return;
         };
         connection.since = now;
-        match connection.steps.front() {
-            Some(step) => {
-                connection.stage = Stage::Running;
-                self.out.push(Output::Send(id, step.query.clone()));
-            }
-            None => {
-                connection.stage = Stage::Idle;
-                connection.ticket = None;
-            }
+        if let Some(step) = connection.steps.front() {
+            connection.stage = Stage::Running;
+            self.out.push(Output::Send(id, step.query.clone()));
+        } else {
+            connection.stage = Stage::Idle;
+            connection.ticket = None;
         }
     }
 
@@ -503,8 +500,7 @@
         let ahead = self.ahead(needs_lead, rank, now);
         let wait = self.service * ahead / slots;
         let left = unit.left().saturating_sub(self.service);
-        (wait > left)
-            .then(|| Refusal::new(Cause::Overloaded, millis(wait.max(SHORTEST_PAUSE))))
+        (wait > left).then(|| Refusal::new(Cause::Overloaded, millis(wait.max(SHORTEST_PAUSE))))
     }
 
     /// Tells whether the believed primary can be reached, as far as is known.
@@ -518,7 +514,9 @@
             let leads = self.lead.upstream() == Some(*name);
             upstream.is_usable(now) && upstream.takes_work(leads, now) && (leads || !needs_lead)
         });
-        usable.map(|(_, upstream)| upstream.registration.slots).sum()
+        usable
+            .map(|(_, upstream)| upstream.registration.slots)
+            .sum()
     }
 
     fn ahead(&self, needs_lead: bool, rank: Rank, now: Moment) -> u32 {
--- a/crates/proxy/src/pool/reply.rs
+++ b/crates/proxy/src/pool/reply.rs
@@ -410,7 +410,8 @@
             upstream.lags(self.horizon.beyond(position, now), now);
         }
         if upstream.answered(position, now) {
-            self.out.push(Output::Note(Note::UpstreamBack(name.clone())));
+            self.out
+                .push(Output::Note(Note::UpstreamBack(name.clone())));
         }
     }
 
@@ -419,7 +420,8 @@
             return;
         };
         if upstream.failed(now) {
-            self.out.push(Output::Note(Note::UpstreamLost(name.clone())));
+            self.out
+                .push(Output::Note(Note::UpstreamLost(name.clone())));
         }
     }
 
--- a/crates/proxy/src/pool/upkeep.rs
+++ b/crates/proxy/src/pool/upkeep.rs
@@ -85,8 +85,8 @@
             return;
         };
         let old = &upstream.registration;
-        let replaced = old.incarnation != registration.incarnation
-            || old.address != registration.address;
+        let replaced =
+            old.incarnation != registration.incarnation || old.address != registration.address;
         if replaced {
             self.forget(name, now);
             let upstream = Upstream::new(registration.clone(), now);
@@ -252,7 +252,11 @@
         let answer = if job.is_transaction() && job.leaves_nothing() {
             Answer::failed(Code::Aborted, "the statement timed out", state)
         } else {
-            Answer::failed(Code::TimedOut, "the statement timed out", TransactionState::Idle)
+            Answer::failed(
+                Code::TimedOut,
+                "the statement timed out",
+                TransactionState::Idle,
+            )
         };
         if !job.released {
             self.finish(ticket, Outcome::Answered(answer));
--- a/crates/proxy/src/pool/upstream.rs
+++ b/crates/proxy/src/pool/upstream.rs
@@ -20,8 +20,9 @@
 const CLOSING: Duration = Duration::from_millis(300);
 /// Pause in opening connections after the upstream had too many.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
-/// Time for which a leaving primary still serves, below the shortest drain bound of 7 s.
-const LEAVING_LEAD: Duration = Duration::from_secs(5);
+/// Time for which a leaving primary still serves once its entry says so: the shortest drain bound is
+/// 7 s, and the entry may be two seconds old.
+const LEAVING_LEAD: Duration = Duration::from_secs(4);
 /// Time after which an upstream that left the list is gone: its entry may lapse in an outage and
 /// come back within two seconds of its end.
 const MISSING: Duration = Duration::from_secs(3);
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -21,8 +21,8 @@
 use crate::pool::Contact;
 use crate::pool::Input;
 use crate::pool::Note;
-use crate::pool::Output;
 use crate::pool::Outcome;
+use crate::pool::Output;
 use crate::pool::Pool;
 use crate::pool::PoolView;
 use crate::pool::Query;
@@ -153,9 +153,9 @@
     }
 
     fn send(&self, connection: ConnectionId, query: Query) {
-        let sent = self.queries.get(&connection).map(|q| q.send(query));
+        let line = self.queries.get(&connection);
         // A connection that ended reports its loss as an input of its own.
-        if !matches!(sent, Some(Ok(()))) {
+        if line.is_none_or(|line| line.send(query).is_err()) {
             tracing::debug!(event = "query_dropped", group = %self.group, connection = connection.0);
         }
     }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -21,16 +21,22 @@
 use crate::wire::ToCaller;
 use crate::wire::Wire;
 
+pub use crate::session::conduct::LAST_START_PERCENT;
+
 /// Serves a caller until either side ends the session.
 pub async fn serve<W: Wire>(stream: TcpStream, number: u64, entry: Arc<Entry>) {
     let mut stream = Framed::new(stream, W::Caller::default());
-    let Some(mut client) = begin::<W>(&mut stream, number, &entry).await else {
+    let conduct = Conduct::new(number, entry.life.clone(), entry.bounds.grace);
+    let client = tokio::select! {
+        client = begin::<W>(&mut stream, number, &entry) => client,
+        _ = conduct.until_close(true) => None,
+    };
+    let Some(mut client) = client else {
         return;
     };
-    let mut conduct = Conduct::new(number, entry.life.clone(), entry.bounds.grace);
     let reason = loop {
         let next = tokio::select! {
-            message = stream.next() => message,
+            biased;
             close = conduct.until_close(client.rests()) => match close {
                 Close::Idle => break "drained",
                 Close::Transaction => {
@@ -42,6 +48,7 @@
                 client.abort_transaction("the transaction rested too long");
                 continue;
             }
+            message = stream.next() => message,
         };
         let answer = match next {
             Some(Ok(FromCaller::Query(request))) => client.answer(request).await,
--- a/crates/proxy/src/session/answer.rs
+++ b/crates/proxy/src/session/answer.rs
@@ -18,11 +18,7 @@
 }
 
 /// Returns the answer to a query without success.
-pub(super) fn error(
-    code: Code,
-    text: impl Into<String>,
-    state: TransactionState,
-) -> Vec<ToCaller> {
+pub(super) fn error(code: Code, text: impl Into<String>, state: TransactionState) -> Vec<ToCaller> {
     vec![
         ToCaller::Error(code, text.into()),
         ToCaller::Ready(state, None),
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -316,12 +316,7 @@
         answer::done(TransactionState::Idle)
     }
 
-    fn unit(
-        &self,
-        admitted: &Admitted,
-        statement: Statement,
-        begin: Option<Statement>,
-    ) -> Unit {
+    fn unit(&self, admitted: &Admitted, statement: Statement, begin: Option<Statement>) -> Unit {
         let route = &admitted.route;
         Unit {
             statement,
@@ -350,12 +345,7 @@
         }
     }
 
-    fn deny(
-        &self,
-        request: &str,
-        denial: &Denial,
-        state: TransactionState,
-    ) -> Vec<ToCaller> {
+    fn deny(&self, request: &str, denial: &Denial, state: TransactionState) -> Vec<ToCaller> {
         let belief = self.entry.board.belief();
         let version = belief.as_ref().map(|b| b.survey.configuration.version.0);
         let age = belief.map(|b| millis(b.age(Moment::now())));
--- a/crates/proxy/src/session/conduct.rs
+++ b/crates/proxy/src/session/conduct.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use mustardbay_process::lifecycle::Lifecycle;
-use tokio::time::Instant;
 
 /// Longest wait for the start of a session.
 pub(super) const START_TIMEOUT: Duration = Duration::from_secs(10);
@@ -14,6 +13,8 @@
 const CLOSE_FROM: u32 = 40;
 /// Part of the grace after which every idle session is closed, in percent.
 const CLOSE_UNTIL: u32 = 75;
+/// Part of the grace after which no session begins, in percent; an operation has the rest to end.
+pub const LAST_START_PERCENT: u32 = 70;
 /// Part of the grace that an open transaction has to end, in percent.
 const TRANSACTION_UNTIL: u32 = 50;
 /// Moments over which the closing of idle sessions is spread.
@@ -35,7 +36,6 @@
     grace: Duration,
     /// Place of this session among those that close, below [`SPREAD`].
     place: u32,
-    drain_began: Option<Instant>,
 }
 
 impl Conduct {
@@ -45,19 +45,12 @@
             life,
             grace,
             place: u32::try_from(place).unwrap_or(0),
-            drain_began: None,
         }
     }
 
     /// Waits until the session, or its open transaction, has to be closed.
-    pub(super) async fn until_close(&mut self, rests: bool) -> Close {
-        let began = match self.drain_began {
-            Some(began) => began,
-            None => {
-                self.life.drained_from_now().await;
-                *self.drain_began.insert(Instant::now())
-            }
-        };
+    pub(super) async fn until_close(&self, rests: bool) -> Close {
+        let began = self.life.drained_from_now().await;
         if rests {
             let percent = CLOSE_FROM + (CLOSE_UNTIL - CLOSE_FROM) * self.place / SPREAD;
             tokio::time::sleep_until(began + self.grace * percent / 100).await;
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -6,7 +6,6 @@
 mod surveyor;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use mustardbay_process::admin::Admin;
 use mustardbay_process::incarnation::incarnation;
@@ -14,6 +13,7 @@
 use mustardbay_process::metrics::Metrics;
 use mustardbay_process::timer::Timer;
 use thiserror::Error;
+use tokio_util::task::TaskTracker;
 
 use crate::board::Board;
 use crate::desk::Desk;
@@ -31,13 +31,14 @@
 use crate::meters::Meters;
 use crate::platform::Platform;
 use crate::pool::Input;
+use crate::session;
 use crate::settings::VmSettings;
 use crate::socket;
 use crate::tenure::Tenure;
 use crate::wire::Wire;
 
-/// Part of the grace after which the process ends, in percent.
-const EXIT_PERCENT: u32 = 90;
+/// Part of the grace after which the process ends, in percent, whatever still runs.
+const EXIT_PERCENT: u32 = 97;
 
 /// Why a vm could not start.
 #[derive(Debug, Error)]
@@ -75,11 +76,7 @@
 
     let link_listener = socket::listen(settings.listen.link)?;
     tokio::spawn(link::serve(link_listener, Arc::clone(&desk)));
-    let purses = Purses::new(
-        settings.vm.clone(),
-        Arc::clone(&board),
-        Arc::clone(&links),
-    );
+    let purses = Purses::new(settings.vm.clone(), Arc::clone(&board), Arc::clone(&links));
     let entry = Arc::new(Entry {
         vm: settings.vm.clone(),
         board: Arc::clone(&board),
@@ -91,7 +88,9 @@
             currency: settings.currency(),
             grace: settings.grace(),
         },
+        sessions: TaskTracker::new(),
     });
+    let sessions = entry.sessions.clone();
     let steward = steward::start::<W>(steward::Parts {
         me: settings.vm.clone(),
         board: Arc::clone(&board),
@@ -129,26 +128,21 @@
         Arc::clone(&board),
         life.clone(),
         settings.currency(),
-    )
-    .await?;
+    )?;
     let callers = socket::listen(settings.listen.entry)?;
     tokio::spawn(entry::serve::<W>(callers, entry));
     life.mark_ready();
 
     life.drained_from_now().await;
-    stop(&settings, &desk, &tenure, platform.as_ref()).await;
+    let leaving = leave(&settings, &desk, &tenure, platform.as_ref());
+    let finishing = finish(&settings, &sessions);
+    tokio::join!(leaving, finishing);
     Ok(())
 }
 
-/// Leaves the fleet at once, serves what is open, and returns at the end of the grace.
-async fn stop(
-    settings: &VmSettings,
-    desk: &Desk,
-    tenure: &Tenure,
-    platform: &dyn Platform,
-) {
+/// Gives the vm's place in the fleet up, so that others take over its groups and accounts.
+async fn leave(settings: &VmSettings, desk: &Desk, tenure: &Tenure, platform: &dyn Platform) {
     tracing::info!(event = "vm_stopping", vm = %settings.vm);
-    let end = tokio::time::Instant::now() + settings.grace() * EXIT_PERCENT / 100;
     desk.tell_pools(&Input::Retire);
     if let Some(lease) = tenure.lease() {
         tenure.end();
@@ -156,8 +150,17 @@
             tracing::warn!(event = "lease_not_ended", error = %e);
         }
     }
-    tokio::time::sleep_until(end).await;
-    tracing::info!(event = "vm_stopped", vm = %settings.vm);
+}
+
+/// Waits until the sessions have ended, at most to the end of the grace.
+///
+/// The listener spawns sessions until late in the grace, so none may be missing before then.
+async fn finish(settings: &VmSettings, sessions: &TaskTracker) {
+    let end = tokio::time::Instant::now() + settings.grace() * EXIT_PERCENT / 100;
+    tokio::time::sleep(settings.grace() * session::LAST_START_PERCENT / 100).await;
+    sessions.close();
+    let ended = tokio::time::timeout_at(end, sessions.wait()).await.is_ok();
+    tracing::info!(event = "vm_stopped", vm = %settings.vm, ended, sessions = sessions.len());
 }
 
 /// Returns this vm's entry in the list of members.
@@ -191,6 +194,3 @@
     });
     link
 }
-
-/// Time between two readings of the store while all is well.
-pub(crate) const SURVEY_EVERY: Duration = Duration::from_millis(1_000);
--- a/crates/proxy/src/vm/membership.rs
+++ b/crates/proxy/src/vm/membership.rs
@@ -39,11 +39,7 @@
 }
 
 /// Renews the lease, or takes a new one and joins with it.
-async fn renew(
-    me: &Member,
-    tenure: &Tenure,
-    platform: &dyn Platform,
-) -> Result<(), PlatformError> {
+async fn renew(me: &Member, tenure: &Tenure, platform: &dyn Platform) -> Result<(), PlatformError> {
     let asked = Moment::now();
     let Some(lease) = tenure.lease() else {
         let (lease, term) = platform.lease(TERM).await?;
--- a/crates/proxy/src/vm/ready.rs
+++ b/crates/proxy/src/vm/ready.rs
@@ -22,7 +22,7 @@
 }
 
 /// Serves the probe in the background, at every path.
-pub(super) async fn serve(
+pub(super) fn serve(
     address: SocketAddr,
     board: Arc<Board>,
     life: Lifecycle,
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -210,7 +210,7 @@
             "lease_holds": self.parts.tenure.holds(now),
             "configuration_version": belief.as_ref().map(|b| b.survey.configuration.version),
             "belief_age_ms": belief.as_ref().map(|b| b.age(now).as_millis()),
-            "members": belief.as_ref().map(|b| b.survey.members.clone()),
+            "members": belief.as_ref().map(|b| Arc::clone(&b.survey.members)),
             "pools": pools,
         }))
     }
@@ -222,15 +222,9 @@
         let survey = &belief.survey;
         let caretaker: Option<AccountName> = survey.configuration.accounts.keys().next().cloned();
         for (group, limits) in &survey.configuration.groups {
-            let ranking = group_ranking(
-                &survey.members,
-                survey.configuration.groups.keys(),
-                group,
-            );
+            let ranking = group_ranking(&survey.members, survey.configuration.groups.keys(), group);
             let rank = ranking.iter().position(|m| m.vm == self.parts.me);
-            let connections = rank.map_or(0, |rank| {
-                share(rank, ranking.len(), limits.connections)
-            });
+            let connections = rank.map_or(0, |rank| share(rank, ranking.len(), limits.connections));
             let home = rank == Some(0);
             let ward = self.ward(group);
             if ward.home != home {
--- a/crates/proxy/src/vm/steward/promotion.rs
+++ b/crates/proxy/src/vm/steward/promotion.rs
@@ -54,9 +54,11 @@
                     }
                 });
             }
-            Action::Claim => report(itself, group.clone(), async move {
-                claim(&parts, &group).await
-            }),
+            Action::Claim => report(
+                itself,
+                group.clone(),
+                async move { claim(&parts, &group).await },
+            ),
             Action::Promote(upstream, token) => report(itself, group.clone(), async move {
                 let promoted = parts
                     .platform
--- a/crates/proxy/src/vm/surveyor.rs
+++ b/crates/proxy/src/vm/surveyor.rs
@@ -1,34 +1,43 @@
-//! Keeps the vm's belief young: from the store, or from another vm while the store is away.
+//! Keeps the vm's belief young.
+//!
+//! A few vms, the readers, read the platform's store; the others ask a reader, and read the store
+//! themselves when no reader has a younger survey. Calls to the store so do not grow with the fleet.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use kameo::actor::ActorRef;
 use mustardbay_policy::names::VmName;
+use tokio::time::Instant;
 
 use crate::board::Adoption;
 use crate::board::Belief;
 use crate::board::Board;
 use crate::clock::Moment;
+use crate::fleet::Member;
+use crate::fleet::readers;
 use crate::link::AskBody;
 use crate::link::Links;
 use crate::link::ReplyBody;
 use crate::link::frame::AskSurvey;
+use crate::link::frame::Surveyed as Shown;
 use crate::meters::Meters;
 use crate::platform::Platform;
-use crate::survey::Survey;
-use crate::vm::SURVEY_EVERY;
 use crate::vm::steward::Steward;
 use crate::vm::steward::Surveyed;
 
-/// Pause after the store gave no usable answer.
-const RETRY: Duration = Duration::from_millis(300);
-/// Age of the belief beyond which other vms are asked.
-const ASK_PEERS: Duration = Duration::from_millis(1_800);
+/// Time between two readings: a version is then in force within two of them and the way.
+const SURVEY_EVERY: Duration = Duration::from_millis(900);
+/// Pause after no reading succeeded.
+const RETRY: Duration = Duration::from_millis(250);
+/// Age of the belief beyond which the store is read without regard to the readers.
+const READ_STORE: Duration = Duration::from_secs(2);
 /// Longest wait for another vm's survey.
-const PEER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Other vms that are asked in one round.
+const PEER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Other vms that are asked in one round when the store does not answer.
 const PEERS: usize = 3;
+/// Time for which the store is left alone after it failed, while other vms have younger surveys.
+const STORE_PAUSE: Duration = Duration::from_secs(2);
 
 /// What the surveyor works with.
 pub(super) struct Parts {
@@ -40,47 +49,128 @@
     pub(super) steward: ActorRef<Steward>,
 }
 
+/// The surveyor's memory between two rounds.
+struct Surveyor {
+    parts: Parts,
+    round: usize,
+    /// Whether the store answered the last call.
+    reachable: bool,
+    failed_at: Option<Instant>,
+}
+
 /// Starts to survey.
 pub(super) fn start(parts: Parts) {
+    let mut surveyor = Surveyor {
+        parts,
+        round: 0,
+        reachable: true,
+        failed_at: None,
+    };
     tokio::spawn(async move {
-        let mut round = 0_usize;
-        let mut reachable = true;
         loop {
-            let asked = Moment::now();
-            let pause = match parts.platform.survey().await {
-                Ok(survey) => {
-                    parts.meters.store_call("survey", "ok");
-                    if !reachable {
-                        tracing::info!(event = "store_back");
-                        reachable = true;
-                    }
-                    parts.adopt(survey, asked, "store").await;
-                    SURVEY_EVERY
-                }
-                Err(e) => {
-                    parts.meters.store_call("survey", "failed");
-                    if reachable {
-                        tracing::info!(event = "store_lost", error = %e);
-                        reachable = false;
-                    }
-                    round += 1;
-                    parts.ask_peers(round).await;
-                    RETRY
-                }
+            let pause = if surveyor.round().await {
+                SURVEY_EVERY
+            } else {
+                RETRY
             };
             tokio::time::sleep(pause).await;
         }
     });
 }
 
+impl Surveyor {
+    /// Renews the belief from wherever it can be; returns whether it did.
+    async fn round(&mut self) -> bool {
+        self.round += 1;
+        let Some(belief) = self.parts.board.belief() else {
+            return self.read_store().await;
+        };
+        let members = Arc::clone(&belief.survey.members);
+        let readers = readers(&members);
+        let reads = readers.iter().any(|member| member.vm == self.parts.me);
+        let old = belief.age(Moment::now()) >= READ_STORE;
+        if !reads && self.ask_any(&readers, &belief).await {
+            return true;
+        }
+        let paused = self.failed_at.is_some_and(|at| at.elapsed() < STORE_PAUSE);
+        if (reads || old || readers.is_empty()) && !paused && self.read_store().await {
+            return true;
+        }
+        let others: Vec<&Member> = members.iter().collect();
+        let others = self.some_of(&others);
+        old && self.ask_any(&others, &belief).await
+    }
+
+    async fn read_store(&mut self) -> bool {
+        let asked = Moment::now();
+        let survey = match self.parts.platform.survey().await {
+            Ok(survey) => survey,
+            Err(e) => {
+                self.parts.meters.store_call("survey", "failed");
+                self.failed_at = Some(Instant::now());
+                if self.reachable {
+                    tracing::info!(event = "store_lost", error = %e);
+                    self.reachable = false;
+                }
+                return false;
+            }
+        };
+        self.parts.meters.store_call("survey", "ok");
+        self.failed_at = None;
+        if !self.reachable {
+            tracing::info!(event = "store_back");
+            self.reachable = true;
+        }
+        match survey.stamp() {
+            Ok(stamp) => {
+                let belief = Belief {
+                    survey,
+                    stamp,
+                    asked,
+                };
+                self.parts.adopt(belief, "store").await;
+                true
+            }
+            Err(e) => {
+                tracing::error!(event = "survey_not_encoded", error = %e);
+                false
+            }
+        }
+    }
+
+    /// Returns a few of the vms, others in each round.
+    fn some_of<'a>(&self, all: &[&'a Member]) -> Vec<&'a Member> {
+        let count = PEERS.min(all.len());
+        (0..count)
+            .map(|index| all[(self.round * PEERS + index) % all.len()])
+            .collect()
+    }
+
+    /// Asks vms in turn until one has a younger survey than the own.
+    async fn ask_any(&self, members: &[&Member], belief: &Belief) -> bool {
+        for member in members {
+            if member.vm == self.parts.me {
+                continue;
+            }
+            let ask = self.parts.ask(member, belief);
+            let Ok(Some(younger)) = tokio::time::timeout(PEER_TIMEOUT, ask).await else {
+                continue;
+            };
+            self.parts.adopt(younger, member.vm.as_str()).await;
+            return true;
+        }
+        false
+    }
+}
+
 impl Parts {
-    async fn adopt(&self, survey: Survey, asked: Moment, source: &str) {
-        let version = survey.configuration.version;
-        let belief = Belief { survey, asked };
+    async fn adopt(&self, belief: Belief, source: &str) {
+        let version = belief.survey.configuration.version;
+        let age = Moment::now().since(belief.asked);
         match self.board.adopt(belief) {
             Adoption::NewVersion => {
                 tracing::info!(event = "configuration_in_force", version = %version, source,
-                    age_ms = Moment::now().since(asked).as_millis());
+                    age_ms = age.as_millis());
             }
             Adoption::SameVersion => {}
             Adoption::Stale => {
@@ -92,55 +182,43 @@
         }
     }
 
-    /// Asks a few other vms for a younger survey than the own.
-    async fn ask_peers(&self, round: usize) {
-        let Some(belief) = self.board.belief() else {
-            return;
+    /// Asks a vm for its survey; nothing if it has none that is younger than `known`.
+    ///
+    /// Its proof is dated from before the question, whenever the answer was written.
+    async fn ask(&self, member: &Member, known: &Belief) -> Option<Belief> {
+        let asked = Moment::now();
+        let link = self.links.to(&member.vm, member.address).await?;
+        let ask = AskSurvey {
+            stamp: known.stamp.0,
         };
-        if belief.age(Moment::now()) < ASK_PEERS {
-            return;
-        }
-        let others: Vec<_> = belief
-            .survey
-            .members
-            .iter()
-            .filter(|member| member.vm != self.me)
-            .collect();
-        for index in 0..PEERS.min(others.len()) {
-            let member = others[(round + index) % others.len()];
-            let asked = Moment::now();
-            let ask = self.ask_peer(&member.vm, member.address);
-            let Ok(Some((survey, age))) = tokio::time::timeout(PEER_TIMEOUT, ask).await else {
-                continue;
-            };
-            // The peer's proof is dated before this question, whenever the answer was written.
-            let proven = asked.before(age);
-            if proven > belief.asked {
-                self.adopt(survey, proven, member.vm.as_str()).await;
-                return;
-            }
-        }
-    }
-
-    async fn ask_peer(
-        &self,
-        vm: &VmName,
-        address: std::net::SocketAddr,
-    ) -> Option<(Survey, Duration)> {
-        let link = self.links.to(vm, address).await?;
-        let reply = link.call(link.number(), AskBody::Survey(AskSurvey {})).await;
-        let Ok(ReplyBody::Surveyed(surveyed)) = reply else {
+        let reply = link.call(link.number(), AskBody::Survey(ask)).await;
+        let Ok(ReplyBody::Surveyed(shown)) = reply else {
             return None;
         };
-        if surveyed.survey.is_empty() {
+        let proven = asked.before(Duration::from_millis(shown.age_ms));
+        if shown.stamp == 0 || proven <= known.asked {
             return None;
         }
-        match serde_json::from_slice(&surveyed.survey) {
-            Ok(survey) => Some((survey, Duration::from_millis(surveyed.age_ms))),
-            Err(e) => {
-                tracing::warn!(event = "survey_unreadable", vm = %vm, error = %e);
-                None
-            }
+        if shown.stamp == known.stamp.0 {
+            return Some(Belief {
+                asked: proven,
+                ..known.clone()
+            });
+        }
+        read(&shown, proven, &member.vm)
+    }
+}
+
+fn read(shown: &Shown, asked: Moment, vm: &VmName) -> Option<Belief> {
+    match serde_json::from_slice(&shown.survey) {
+        Ok(survey) => Some(Belief {
+            survey,
+            stamp: crate::survey::Stamp(shown.stamp),
+            asked,
+        }),
+        Err(e) => {
+            tracing::warn!(event = "survey_unreadable", vm = %vm, error = %e);
+            None
         }
     }
 }
--- a/crates/proxy/src/work/answer.rs
+++ b/crates/proxy/src/work/answer.rs
@@ -4,9 +4,7 @@
 use crate::work::LogPosition;
 
 /// State of a connection's transaction after an answer.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
 pub enum TransactionState {
     /// No transaction is open.
--- a/crates/proxy/src/work/statement.rs
+++ b/crates/proxy/src/work/statement.rs
@@ -67,10 +67,13 @@
     /// The name is derived from the shape, so that sessions share what is prepared.
     #[must_use]
     pub fn statement_name(&self) -> String {
-
         let kind = if self.writes { 'w' } else { 'r' };
         let digest = Sha256::digest(self.text.as_bytes());
-        let hex: String = digest[..12].iter().map(|b| format!("{b:02x}")).collect();
-        format!("{kind}{hex}")
+        let mut head = [0_u8; 12];
+        head.copy_from_slice(&digest[..12]);
+        let number = head
+            .iter()
+            .fold(0_u128, |n, byte| n << 8 | u128::from(*byte));
+        format!("{kind}{number:024x}")
     }
 }
