--- a/crates/proxy/src/vm/surveyor.rs
+++ b/crates/proxy/src/vm/surveyor.rs
@@ -30,8 +30,8 @@
 const SURVEY_EVERY: Duration = Duration::from_millis(900);
 /// Pause after no reading succeeded.
 const RETRY: Duration = Duration::from_millis(250);
-/// Age of the belief beyond which the store is read without regard to the readers.
-const READ_STORE: Duration = Duration::from_secs(2);
+/// Age up to which another vm's survey is enough: a reader's, just before it reads again.
+const FRESH: Duration = Duration::from_millis(1_200);
 /// Longest wait for another vm's survey.
 const PEER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Other vms that are asked in one round when the store does not answer.
@@ -88,17 +88,19 @@
         let members = Arc::clone(&belief.survey.members);
         let readers = readers(&members);
         let reads = readers.iter().any(|member| member.vm == self.parts.me);
-        let old = belief.age(Moment::now()) >= READ_STORE;
-        if !reads && self.ask_any(&readers, &belief).await {
+        let paused = self.failed_at.is_some_and(|at| at.elapsed() < STORE_PAUSE);
+        if reads && !paused && self.read_store().await {
             return true;
         }
-        let paused = self.failed_at.is_some_and(|at| at.elapsed() < STORE_PAUSE);
-        if (reads || old || readers.is_empty()) && !paused && self.read_store().await {
+        if self.ask_any(&readers, &belief).await {
+            return true;
+        }
+        if !reads && !paused && self.read_store().await {
             return true;
         }
         let others: Vec<&Member> = members.iter().collect();
         let others = self.some_of(&others);
-        old && self.ask_any(&others, &belief).await
+        self.ask_any(&others, &belief).await
     }
 
     async fn read_store(&mut self) -> bool {
@@ -146,18 +148,22 @@
             .collect()
     }
 
-    /// Asks vms in turn until one has a younger survey than the own.
+    /// Asks vms in turn until the belief is fresh; returns whether it is.
     async fn ask_any(&self, members: &[&Member], belief: &Belief) -> bool {
+        let mut known = belief.clone();
         for member in members {
             if member.vm == self.parts.me {
                 continue;
             }
-            let ask = self.parts.ask(member, belief);
+            let ask = self.parts.ask(member, &known);
             let Ok(Some(younger)) = tokio::time::timeout(PEER_TIMEOUT, ask).await else {
                 continue;
             };
+            known = younger.clone();
             self.parts.adopt(younger, member.vm.as_str()).await;
-            return true;
+            if known.age(Moment::now()) < FRESH {
+                return true;
+            }
         }
         false
     }
