--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -30,7 +30,7 @@
 use crate::socket;
 
 /// Longest wait for an upstream that another vm asks about.
-const REACH_TIMEOUT: Duration = Duration::from_millis(250);
+const REACH_TIMEOUT: Duration = Duration::from_millis(150);
 /// Pause that a session is asked to make when this vm does not know its group.
 const UNKNOWN_GROUP_PAUSE_MS: u32 = 200;
 
--- a/crates/proxy/src/group/succession.rs
+++ b/crates/proxy/src/group/succession.rs
@@ -16,7 +16,7 @@
 /// Time without any primary after which one is promoted.
 const MISSING: Duration = Duration::from_millis(800);
 /// Time for statuses to come in before the successor is chosen.
-const SURVEY: Duration = Duration::from_millis(150);
+const SURVEY: Duration = Duration::from_millis(100);
 /// Age beyond which a status does not count in the choice.
 const FRESH: Duration = Duration::from_millis(500);
 /// Time after which a promotion that nobody saw take effect is tried anew.
@@ -38,7 +38,12 @@
     /// The call is under way.
     Calling { chosen: UpstreamName },
     /// It waits until the chosen upstream leads.
-    Confirming { chosen: UpstreamName, since: Moment },
+    Confirming {
+        chosen: UpstreamName,
+        since: Moment,
+        /// When statuses were last asked for.
+        asked: Moment,
+    },
 }
 
 /// Watch over the primary of one group by the vm that is its home.
@@ -79,6 +84,18 @@
                 self.stage = Stage::Claiming;
                 Some(Action::Claim)
             }
+            Stage::Confirming {
+                chosen,
+                since,
+                asked,
+            } if now.since(asked) >= SURVEY => {
+                self.stage = Stage::Confirming {
+                    chosen,
+                    since,
+                    asked: now,
+                };
+                Some(Action::Survey)
+            }
             Stage::Asking
             | Stage::Claiming
             | Stage::Surveying { .. }
@@ -100,7 +117,11 @@
                 Some(Action::Survey)
             }
             (Stage::Calling { chosen }, Event::Accepted | Event::Unknown) => {
-                self.stage = Stage::Confirming { chosen, since: now };
+                self.stage = Stage::Confirming {
+                    chosen,
+                    since: now,
+                    asked: now,
+                };
                 None
             }
             (Stage::Asking, Event::PeerReaches)
--- a/crates/proxy/src/pool/upkeep.rs
+++ b/crates/proxy/src/pool/upkeep.rs
@@ -1,6 +1,7 @@
 //! What a pool does by itself as time passes: timeouts, contact with upstreams, its share.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
@@ -295,8 +296,22 @@
         }
     }
 
+    /// Doubts upstreams that owe an answer for longer than a statement takes.
+    fn doubt_silent(&mut self, now: Moment) {
+        let owing = self.connections.values().filter(|connection| {
+            connection.stage == Stage::Running && now.since(connection.since) >= SILENT_READ
+        });
+        let owing: BTreeSet<UpstreamName> = owing.map(|c| c.upstream.clone()).collect();
+        for name in owing {
+            if let Some(upstream) = self.upstreams.get_mut(&name) {
+                upstream.doubt_silent(SILENT_READ, now);
+            }
+        }
+    }
+
     /// Asks upstreams that have been silent for their status.
     fn keep_contact(&mut self, now: Moment) {
+        self.doubt_silent(now);
         let searching = self.lead.upstream().is_none();
         let lead = self.lead.upstream().cloned();
         let stale = self.horizon.age(now).is_none_or(|age| age >= CONTACT_EVERY);
--- a/crates/proxy/src/pool/upstream.rs
+++ b/crates/proxy/src/pool/upstream.rs
@@ -162,6 +162,13 @@
         self.failing_since.get_or_insert(now);
     }
 
+    /// Doubts an upstream that owes answers and has been silent for `patience`, since its last one.
+    pub(super) fn doubt_silent(&mut self, patience: Duration, now: Moment) {
+        if now.since(self.contact) >= patience {
+            self.failing_since.get_or_insert(self.contact);
+        }
+    }
+
     /// Notes that it could not be reached; returns whether that is the first time since it answered.
     pub(super) fn failed(&mut self, now: Moment) -> bool {
         self.failing_since.get_or_insert(now);
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -42,7 +42,7 @@
 use crate::wire::Wire;
 
 /// Time between two looks at the primaries.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Age of the belief up to which this vm acts as an authority: others may have joined since.
 const AUTHORITY_AGE: Duration = Duration::from_millis(2_500);
 
--- a/crates/proxy/src/vm/steward/promotion.rs
+++ b/crates/proxy/src/vm/steward/promotion.rs
@@ -21,7 +21,7 @@
 use crate::vm::steward::Steward;
 
 /// Longest wait for other vms' word on an upstream.
-const WORD_TIMEOUT: Duration = Duration::from_millis(400);
+const WORD_TIMEOUT: Duration = Duration::from_millis(250);
 
 impl Steward {
     /// Carries out a step; what became of it comes back as a message.
@@ -35,7 +35,11 @@
         let parts = Arc::clone(&self.parts);
         let group = group.clone();
         let itself = itself.clone();
-        tracing::info!(event = "succession", group = %group, action = ?action);
+        if action == Action::Survey {
+            tracing::debug!(event = "succession", group = %group, action = ?action);
+        } else {
+            tracing::info!(event = "succession", group = %group, action = ?action);
+        }
         match action {
             Action::Survey => {
                 if let Some(ward) = self.wards.get(&group)
