Refuse at once what the rate does not cover, and give a silent link up after half a second

Changes: no wait for a bucket to fill; a link with something asked is pinged after 120 ms of silence and given up 400 ms later.

--- a/crates/proxy/src/entry/purses.rs
+++ b/crates/proxy/src/entry/purses.rs
@@ -30,8 +30,6 @@
 const AVOID: Duration = Duration::from_millis(500);
 /// Longest wait of an operation for its authorities' answers.
 const DRAW_WAIT: Duration = Duration::from_millis(150);
-/// Longest wait of an operation for a bucket to fill; beyond it is refused.
-const REFILL_WAIT: Duration = Duration::from_millis(40);
 /// Pause that a session is asked to make when the authority named none.
 const DEFAULT_RETRY_MS: u32 = 200;
 
@@ -73,30 +71,19 @@
     ///
     /// Fails if there is none, with the time in milliseconds after which one may be had.
     pub async fn take(self: &Arc<Self>, account: &AccountName) -> Result<(), u32> {
-        let until = Instant::now() + DRAW_WAIT;
-        let (mut taken, answered) = self.try_take(account, true);
+        let (taken, answered) = self.try_take(account, true);
         self.draw(account, taken == Take::Wait);
-        while taken == Take::Wait {
-            if tokio::time::timeout_at(until, answered.notified())
-                .await
-                .is_err()
-            {
-                return Err(self.retry_after(account));
-            }
-            taken = self.try_take(account, false).0;
-            if taken == Take::Spent {
-                break;
-            }
-            let retry = self.retry_after(account);
-            let pause = Duration::from_millis(retry.into());
-            if pause > REFILL_WAIT || Instant::now() + pause >= until {
-                return Err(retry);
+        if taken == Take::Spent {
+            return Ok(());
+        }
+        let waited = tokio::time::timeout(DRAW_WAIT, answered.notified()).await;
+        match self.try_take(account, false).0 {
+            Take::Spent => Ok(()),
+            Take::Wait => {
+                tracing::debug!(event = "no_token", account = %account, answered = waited.is_ok());
+                Err(self.retry_after(account))
             }
-            tokio::time::sleep(pause).await;
-            taken = self.try_take(account, false).0;
-            self.draw(account, taken == Take::Wait);
         }
-        Ok(())
     }
 
     fn retry_after(&self, account: &AccountName) -> u32 {
--- a/crates/proxy/src/link/client.rs
+++ b/crates/proxy/src/link/client.rs
@@ -30,10 +30,10 @@
 
 /// Longest wait for a link to open: a few round trips between failure domains.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time between two checks of a link.
-const CHECK_EVERY: Duration = Duration::from_millis(250);
-/// Silence of a link, with something asked, after which it is given up.
-const SILENCE: Duration = Duration::from_millis(750);
+/// Silence of a link, with something asked, after which it is pinged: beyond a short pause of the vm.
+const DOUBT: Duration = Duration::from_millis(120);
+/// Silence after a ping for which a link is given up: beyond a vm's longest wait for its processor.
+const SILENCE: Duration = Duration::from_millis(400);
 /// Silence of a link with nothing asked after which it is pinged.
 const QUIET: Duration = Duration::from_secs(2);
 /// Time after a failure during which no new link to the same vm is waited for.
@@ -229,14 +229,22 @@
     address: SocketAddr,
 ) {
     let (mut sink, mut replies) = framed::<_, Ask, Reply>(stream).split();
-    let mut check = tokio::time::interval(CHECK_EVERY);
-    check.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut heard = Instant::now();
+    // When the first request since the last reply was sent.
+    let mut asked = heard;
     let mut pinged: Option<Instant> = None;
     let reason = loop {
+        let check = match pinged {
+            Some(at) => at + SILENCE,
+            None if link.is_waiting() => heard.max(asked) + DOUBT,
+            None => heard + QUIET,
+        };
         tokio::select! {
             ask = asks.recv() => {
                 let Some(ask) = ask else { break "unused" };
+                if asked <= heard {
+                    asked = Instant::now();
+                }
                 if sink.feed(ask).await.is_err() { break "write failed" }
                 while let Ok(ask) = asks.try_recv() {
                     if sink.feed(ask).await.is_err() { break }
@@ -251,14 +259,11 @@
                 }
                 Some(Err(_)) | None => break "closed",
             },
-            _ = check.tick() => {
-                if pinged.is_some_and(|at| at.elapsed() >= SILENCE) { break "silent" }
-                let patience = if link.is_waiting() { CHECK_EVERY } else { QUIET };
-                if pinged.is_none() && heard.elapsed() >= patience {
-                    pinged = Some(Instant::now());
-                    let ping = Ask { number: 0, body: Some(AskBody::Ping(Ping { number: 0 })) };
-                    if sink.send(ping).await.is_err() { break "write failed" }
-                }
+            () = tokio::time::sleep_until(check) => {
+                if pinged.is_some() { break "silent" }
+                pinged = Some(Instant::now());
+                let ping = Ask { number: 0, body: Some(AskBody::Ping(Ping { number: 0 })) };
+                if sink.send(ping).await.is_err() { break "write failed" }
             }
         }
     };
