--- a/crates/proxy/src/pool/dispatch.rs
+++ b/crates/proxy/src/pool/dispatch.rs
@@ -40,6 +40,9 @@
 const ROUND_TRIP: Duration = Duration::from_millis(1);
 /// Time that opening a connection costs an upstream, against waiting for another upstream.
 const OPENING: Duration = Duration::from_millis(20);
+/// Halves of a mean service time before its due moment that a unit must start to be on time: every
+/// other statement takes longer than the mean.
+const START_BEFORE: u32 = 3;
 /// Connections that may be closing at an upstream while others are opened in their place.
 const REPLACED: u32 = 2;
 /// Pause that a refused session is asked to make at least.
@@ -198,7 +201,7 @@
 
     /// Tells whether a unit can no longer meet its objective.
     pub(super) fn is_late(&self, rank: Rank, now: Moment) -> bool {
-        now.after(self.service) > rank.due
+        now.after(self.service * START_BEFORE / 2) > rank.due
     }
 
     fn dispatch_held(&mut self, loads: &mut BTreeMap<UpstreamName, Load>, now: Moment) {
--- /dev/null
+++ b/crates/proxy/tests/board.rs
@@ -0,0 +1,96 @@
+//! A vm's belief never goes back.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::GroupName;
+use mustardbay_policy::names::RouteName;
+use mustardbay_proxy::board::Adoption;
+use mustardbay_proxy::board::Belief;
+use mustardbay_proxy::board::Board;
+use mustardbay_proxy::clock::Moment;
+use mustardbay_proxy::configuration::Configuration;
+use mustardbay_proxy::configuration::Key;
+use mustardbay_proxy::configuration::Route;
+use mustardbay_proxy::configuration::Version;
+use mustardbay_proxy::entry::Denial;
+use mustardbay_proxy::entry::current;
+use mustardbay_proxy::entry::look_up;
+use mustardbay_proxy::survey::Survey;
+use mustardbay_proxy::work::Guarantee;
+use test_case::test_case;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_boot(Duration::from_millis(millis))
+}
+
+fn belief(version: u64, asked: u64) -> Belief {
+    let route = Route {
+        group: GroupName::from("g"),
+        guarantee: Guarantee::Primary,
+        staleness: Duration::ZERO,
+        timeout: Duration::from_millis(800),
+        objective: Duration::from_millis(150),
+        priority: 1,
+        open: false,
+    };
+    let configuration = Configuration {
+        version: Version(version),
+        routes: [(RouteName::from("r"), route)].into(),
+        accounts: BTreeMap::new(),
+        keys: [(Key::from("k"), AccountName::from("a"))].into(),
+        groups: BTreeMap::new(),
+        transaction_idle: Duration::from_secs(3),
+    };
+    let survey = Survey {
+        configuration: Arc::new(configuration),
+        upstreams: Arc::default(),
+        members: Arc::default(),
+    };
+    let stamp = survey.stamp().expect("it can be encoded");
+    Belief {
+        survey,
+        stamp,
+        asked: at(asked),
+    }
+}
+
+#[test_case(8, 200, Adoption::NewVersion; "newer_version")]
+#[test_case(7, 200, Adoption::SameVersion; "same_version_younger")]
+#[test_case(7, 50, Adoption::Stale; "same_version_older")]
+#[test_case(6, 200, Adoption::Stale; "older_version_younger")]
+#[test_case(8, 50, Adoption::Stale; "newer_version_older")]
+fn adopt_never_goes_back(version: u64, asked: u64, expected: Adoption) {
+    let board = Board::default();
+    board.adopt(belief(7, 100));
+    assert_eq!(board.adopt(belief(version, asked)), expected);
+}
+
+#[test_case(4_599, true; "just_young_enough")]
+#[test_case(4_600, false; "too_old")]
+fn current_depends_on_age(age: u64, expected: bool) {
+    let known = Some(Arc::new(belief(7, 1_000)));
+    let found = current(known, Duration::from_millis(4_600), at(1_000 + age));
+    assert_eq!(found.is_ok(), expected);
+}
+
+#[test_case("r", Some("k"), None; "known_key")]
+#[test_case("r", Some("x"), Some(Denial::KeyRefused); "unknown_key")]
+#[test_case("r", None, Some(Denial::KeyRefused); "no_key")]
+#[test_case("x", Some("k"), Some(Denial::RouteUnknown); "unknown_route")]
+fn look_up_checks_route_and_key(route: &str, key: Option<&str>, denial: Option<Denial>) {
+    let key = key.map(Key::from);
+    let found = look_up(&belief(7, 0), &RouteName::from(route), key.as_ref());
+    match denial {
+        Some(denial) => assert_eq!(found, Err(denial)),
+        None => assert!(found.is_ok(), "{found:?}"),
+    }
+}
+
+#[test]
+fn key_is_never_shown() {
+    let shown = format!("{:?}", belief(7, 0));
+    assert!(!shown.contains("\"k\""), "{shown}");
+}
--- /dev/null
+++ b/crates/proxy/tests/fleet.rs
@@ -0,0 +1,109 @@
+//! Who is responsible for what, as every vm computes it.
+
+use std::collections::BTreeMap;
+
+use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::DomainName;
+use mustardbay_policy::names::GroupName;
+use mustardbay_policy::names::VmName;
+use mustardbay_proxy::fleet::Incarnation;
+use mustardbay_proxy::fleet::Member;
+use mustardbay_proxy::fleet::authorities;
+use mustardbay_proxy::fleet::group_ranking;
+use mustardbay_proxy::fleet::readers;
+use mustardbay_proxy::fleet::share;
+use test_case::test_case;
+
+fn members(count: usize) -> Vec<Member> {
+    let member = |index: usize| Member {
+        vm: VmName::from(format!("vm{index}")),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: DomainName::from(format!("d{}", index % 3)),
+        incarnation: Incarnation(1),
+        weight: if index < count / 10 { 500 } else { 120 },
+    };
+    (0..count).map(member).collect()
+}
+
+fn groups(count: usize) -> Vec<GroupName> {
+    (0..count)
+        .map(|i| GroupName::from(format!("g{i}")))
+        .collect()
+}
+
+fn homes(members: &[Member], groups: &[GroupName]) -> BTreeMap<GroupName, VmName> {
+    groups
+        .iter()
+        .map(|group| {
+            let ranking = group_ranking(members, groups.iter(), group);
+            (group.clone(), ranking[0].vm.clone())
+        })
+        .collect()
+}
+
+#[test_case(7, 3; "first_users")]
+#[test_case(86, 8; "grown_users")]
+#[test_case(5, 12; "more_groups_than_vms")]
+fn homes_are_spread_by_weight(vms: usize, count: usize) {
+    let members = members(vms);
+    let groups = groups(count);
+    let total: u32 = members.iter().map(|m| m.weight).sum();
+    let mut counts: BTreeMap<VmName, usize> = BTreeMap::new();
+    for home in homes(&members, &groups).into_values() {
+        *counts.entry(home).or_default() += 1;
+    }
+    for member in &members {
+        let most = (count * member.weight as usize).div_ceil(total as usize);
+        let held = counts.get(&member.vm).copied().unwrap_or(0);
+        assert!(held <= most, "{} is home of {held}, not {most}", member.vm);
+    }
+}
+
+#[test]
+fn lost_vm_moves_only_its_own_groups() {
+    let groups = groups(3);
+    let all = members(7);
+    let before = homes(&all, &groups);
+    for gone in &all {
+        let left: Vec<Member> = all.iter().filter(|m| m.vm != gone.vm).cloned().collect();
+        let after = homes(&left, &groups);
+        let moved = groups
+            .iter()
+            .filter(|g| before[g] != gone.vm && before[g] != after[g])
+            .count();
+        assert!(moved <= 1, "{moved} groups moved with {}", gone.vm);
+    }
+}
+
+#[test_case(7, 22; "klarsprak")]
+#[test_case(7, 30; "sathi")]
+#[test_case(86, 60; "klarsprak_grown")]
+#[test_case(71, 160; "sathi_grown")]
+#[test_case(1, 22; "one_vm")]
+#[test_case(300, 10; "few_connections")]
+fn shares_stay_below_the_cap(vms: usize, cap: u32) {
+    let sum: u32 = (0..vms).map(|rank| share(rank, vms, cap)).sum();
+    assert!(sum <= cap, "{sum} connections at a cap of {cap}");
+    assert!(share(0, vms, cap) >= 1);
+}
+
+#[test]
+fn readers_are_in_different_domains() {
+    let members = members(7);
+    let readers = readers(&members);
+    assert_eq!(readers.len(), 2);
+    assert_ne!(readers[0].domain, readers[1].domain);
+}
+
+#[test]
+fn authorities_are_spread_over_the_vms() {
+    let members = members(7);
+    let mut counts: BTreeMap<&VmName, usize> = BTreeMap::new();
+    for index in 0..200 {
+        let account = AccountName::from(format!("a{index}"));
+        for member in authorities(&members, &account, 3) {
+            *counts.entry(&member.vm).or_default() += 1;
+        }
+    }
+    assert_eq!(counts.len(), 7, "every vm is an authority of some account");
+}
--- /dev/null
+++ b/crates/proxy/tests/pool/bed.rs
@@ -0,0 +1,409 @@
+//! Pool before three upstreams that live in virtual time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::DomainName;
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+use mustardbay_policy::position::Term;
+use mustardbay_proxy::clock::Moment;
+use mustardbay_proxy::pool::Command;
+use mustardbay_proxy::pool::ConnectionId;
+use mustardbay_proxy::pool::Input;
+use mustardbay_proxy::pool::OpenFailure;
+use mustardbay_proxy::pool::Outcome;
+use mustardbay_proxy::pool::Output;
+use mustardbay_proxy::pool::Pool;
+use mustardbay_proxy::pool::Query;
+use mustardbay_proxy::pool::Registration;
+use mustardbay_proxy::pool::Role;
+use mustardbay_proxy::pool::Sighting;
+use mustardbay_proxy::pool::TicketId;
+use mustardbay_proxy::work::Answer;
+use mustardbay_proxy::work::Code;
+use mustardbay_proxy::work::Guarantee;
+use mustardbay_proxy::work::Statement;
+use mustardbay_proxy::work::TransactionState;
+use mustardbay_proxy::work::Unit;
+use mustardbay_proxy::work::Verb;
+
+/// Time that a statement holds a slot.
+pub const SERVICE: Duration = Duration::from_millis(20);
+/// Time that opening a connection holds a slot.
+pub const OPENING: Duration = Duration::from_millis(12);
+/// Round trip to an upstream.
+const WAY: Duration = Duration::from_millis(1);
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(50);
+
+/// What an upstream does with what it is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It answers.
+    Up,
+    /// It refuses connections and has broken those that were open.
+    Down,
+    /// It says nothing.
+    Dark,
+    /// It runs what it is sent and breaks the connection before the answer.
+    LosesAnswers,
+}
+
+/// Upstream in virtual time.
+#[derive(Debug)]
+pub struct FakeUpstream {
+    pub health: Health,
+    pub role: Role,
+    /// Position that it has applied.
+    pub applied: Position,
+    slots: Vec<Moment>,
+    /// Statements that it has run, by id.
+    pub ran: Vec<String>,
+    /// Queries that it was sent, as text.
+    pub sent: Vec<String>,
+}
+
+/// Pool, its upstreams and the clock.
+pub struct Bed {
+    pub pool: Pool,
+    pub now: Moment,
+    pub upstreams: BTreeMap<UpstreamName, FakeUpstream>,
+    lines: BTreeMap<ConnectionId, UpstreamName>,
+    states: BTreeMap<ConnectionId, TransactionState>,
+    due: Vec<(Moment, u64, Input)>,
+    order: u64,
+    ticked: Moment,
+    /// Outcome of each ticket, with when it came.
+    pub done: BTreeMap<u64, (Moment, Outcome)>,
+    /// Connections that were opened.
+    pub opened: usize,
+    next: u64,
+}
+
+pub fn name(index: usize) -> UpstreamName {
+    UpstreamName::from(format!("u{index}"))
+}
+
+impl Bed {
+    /// Creates a home pool with `share` connections an upstream; `u0` leads.
+    pub fn new(share: u32) -> Self {
+        let upstreams = (0..3).map(|index| {
+            let role = if index == 0 {
+                Role::Primary
+            } else {
+                Role::Replica
+            };
+            let upstream = FakeUpstream {
+                health: Health::Up,
+                role,
+                applied: Position::new(1, 100),
+                slots: vec![Moment::default(); 3],
+                ran: Vec::new(),
+                sent: Vec::new(),
+            };
+            (name(index), upstream)
+        });
+        let mut bed = Self {
+            pool: Pool::new(),
+            now: Moment::from_boot(Duration::from_secs(1_000)),
+            upstreams: upstreams.collect(),
+            lines: BTreeMap::new(),
+            states: BTreeMap::new(),
+            due: Vec::new(),
+            order: 0,
+            ticked: Moment::default(),
+            done: BTreeMap::new(),
+            opened: 0,
+            next: 0,
+        };
+        bed.feed(Input::Share {
+            connections: share,
+            home: true,
+            caretaker: Some(AccountName::from("a0")),
+        });
+        bed.register(&[]);
+        bed.run(Duration::from_secs(1));
+        bed
+    }
+
+    /// Registers the upstreams; those named are leaving.
+    pub fn register(&mut self, leaving: &[usize]) {
+        let registrations = (0..3).map(|index| Registration {
+            name: name(index),
+            address: ([127, 0, 0, 1], 1_000).into(),
+            domain: DomainName::from("d"),
+            slots: 3,
+            draining: leaving.contains(&index),
+            role: self.upstreams[&name(index)].role,
+            incarnation: 1,
+        });
+        let registrations = registrations.collect();
+        self.feed(Input::Upstreams(registrations));
+    }
+
+    pub fn upstream(&mut self, index: usize) -> &mut FakeUpstream {
+        self.upstreams
+            .get_mut(&name(index))
+            .expect("three upstreams")
+    }
+
+    /// Changes an upstream's health; one that goes down breaks its connections.
+    pub fn set_health(&mut self, index: usize, health: Health) {
+        self.upstream(index).health = health;
+        if health == Health::Down {
+            let broken: Vec<ConnectionId> = self
+                .lines
+                .iter()
+                .filter(|(_, upstream)| **upstream == name(index))
+                .map(|(id, _)| *id)
+                .collect();
+            for id in broken {
+                self.lines.remove(&id);
+                self.after(Duration::ZERO, Input::Lost(id));
+            }
+        }
+    }
+
+    /// Offers a unit and returns its number.
+    pub fn offer(&mut self, unit: Unit) -> u64 {
+        self.next += 1;
+        let number = self.next;
+        self.feed(Input::Offer(ticket(number), Box::new(unit)));
+        number
+    }
+
+    pub fn feed(&mut self, input: Input) {
+        let outputs = self.pool.handle(input, self.now);
+        for output in outputs {
+            self.carry_out(output);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now.after(time);
+        loop {
+            let tick = self.ticked.after(TICK).max(self.now);
+            let next = self.due.iter().map(|(at, order, _)| (*at, *order)).min();
+            match next {
+                Some((at, order)) if at <= tick && at <= end => {
+                    let index = self
+                        .due
+                        .iter()
+                        .position(|(_, o, _)| *o == order)
+                        .expect("it is due");
+                    let (_, _, input) = self.due.swap_remove(index);
+                    self.now = self.now.max(at);
+                    self.feed(input);
+                }
+                _ if tick <= end => {
+                    self.now = tick;
+                    self.ticked = tick;
+                    self.feed(Input::Tick);
+                }
+                _ => {
+                    self.now = end;
+                    return;
+                }
+            }
+        }
+    }
+
+    pub fn outcome(&self, number: u64) -> &Outcome {
+        &self.done.get(&number).expect("the unit has its outcome").1
+    }
+
+    pub fn answer(&self, number: u64) -> &Answer {
+        match self.outcome(number) {
+            Outcome::Answered(answer) => answer,
+            Outcome::Refused(refusal) => panic!("refused: {}", refusal.text()),
+        }
+    }
+
+    fn after(&mut self, time: Duration, input: Input) {
+        self.order += 1;
+        self.due.push((self.now.after(time), self.order, input));
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Open {
+                connection,
+                upstream,
+                ..
+            } => self.open(connection, &upstream),
+            Output::Send(connection, query) => self.send(connection, &query),
+            Output::Close(connection) => {
+                self.lines.remove(&connection);
+            }
+            Output::Finish(ticket, outcome) => {
+                self.done.insert(ticket.number, (self.now, outcome));
+            }
+            Output::Note(_) => {}
+        }
+    }
+
+    fn open(&mut self, id: ConnectionId, name: &UpstreamName) {
+        self.opened += 1;
+        let now = self.now;
+        let upstream = self.upstreams.get_mut(name).expect("known upstream");
+        match upstream.health {
+            Health::Up | Health::LosesAnswers => {
+                let ready = upstream.hold_slot(now, OPENING);
+                let position = upstream.applied;
+                self.lines.insert(id, name.clone());
+                self.after(ready.since(now) + WAY, Input::Opened(id, Some(position)));
+            }
+            Health::Down => {
+                self.after(WAY, Input::OpenFailed(id, OpenFailure::Unreachable));
+            }
+            Health::Dark => {}
+        }
+    }
+
+    fn send(&mut self, id: ConnectionId, query: &Query) {
+        let Some(name) = self.lines.get(&id).cloned() else {
+            self.after(WAY, Input::Lost(id));
+            return;
+        };
+        let now = self.now;
+        let state = self.states.get(&id).copied().unwrap_or_default();
+        let upstream = self.upstreams.get_mut(&name).expect("known upstream");
+        upstream.sent.push(text(query));
+        if upstream.health == Health::Dark {
+            return;
+        }
+        if query.command == Command::Status {
+            let sighting = upstream.sighting();
+            let position = Some(upstream.applied);
+            self.after(WAY, Input::Sighted(id, Some(sighting), position));
+            return;
+        }
+        let (answer, at) = upstream.run(query, state, now);
+        let loses = upstream.health == Health::LosesAnswers && query.id.is_some();
+        self.states.insert(id, answer.state());
+        if loses {
+            self.lines.remove(&id);
+            self.after(at.since(now), Input::Lost(id));
+        } else {
+            self.after(at.since(now) + WAY, Input::Replied(id, answer));
+        }
+    }
+}
+
+impl FakeUpstream {
+    /// Takes the first slot that is free and returns when it is free again.
+    fn hold_slot(&mut self, now: Moment, time: Duration) -> Moment {
+        let slot = self.slots.iter_mut().min().expect("an upstream has slots");
+        *slot = (*slot).max(now).after(time);
+        *slot
+    }
+
+    fn sighting(&self) -> Sighting {
+        Sighting {
+            role: self.role,
+            term: self.applied.term,
+            received: self.applied,
+        }
+    }
+
+    fn run(&mut self, query: &Query, state: TransactionState, now: Moment) -> (Answer, Moment) {
+        let refuse = |code| {
+            let state = if state == TransactionState::Idle {
+                TransactionState::Idle
+            } else {
+                TransactionState::Failed
+            };
+            (Answer::failed(code, "refused", state), now)
+        };
+        if query.after.is_some_and(|floor| !self.applied.covers(floor)) {
+            let (mut answer, at) = refuse(Code::Lagging);
+            answer.position = Some(self.applied.into());
+            return (answer, at);
+        }
+        let (state, at) = match &query.command {
+            Command::Begin if self.role == Role::Replica => return refuse(Code::ReadOnly),
+            Command::Begin | Command::BeginRead => (TransactionState::Open, now),
+            Command::Rollback => (TransactionState::Idle, now),
+            Command::Statement(statement) => {
+                if statement.verb() == Verb::Write && self.role == Role::Replica {
+                    return refuse(Code::ReadOnly);
+                }
+                let writes = statement.verb() == Verb::Write && state == TransactionState::Idle;
+                if writes || statement.verb() == Verb::Commit {
+                    self.applied.index += 1;
+                }
+                self.ran.push(statement.id.clone());
+                let ends = statement.verb() == Verb::Commit;
+                let after = if ends { TransactionState::Idle } else { state };
+                (after, self.hold_slot(now, SERVICE))
+            }
+            _ => (state, now),
+        };
+        let answer = Answer {
+            signature: Some("s".to_owned()),
+            state: state.into(),
+            position: Some(self.applied.into()),
+            ..Answer::default()
+        };
+        (answer, at)
+    }
+}
+
+pub fn ticket(number: u64) -> TicketId {
+    TicketId { link: 1, number }
+}
+
+fn text(query: &Query) -> String {
+    let after = query
+        .after
+        .map(|p| format!("AFTER {p} "))
+        .unwrap_or_default();
+    let command = match &query.command {
+        Command::Statement(statement) => statement.text.clone(),
+        Command::Set(setting) => format!("SET {} {}", setting.name, setting.value),
+        other => format!("{other:?}"),
+    };
+    format!("{after}{command}")
+}
+
+/// Returns a single statement of account `a0` on a primary route.
+pub fn single(verb: Verb, id: &str) -> Unit {
+    Unit {
+        statement: Statement::new(id, verb, id),
+        account: "a0".to_owned(),
+        group: "g".to_owned(),
+        guarantee: Guarantee::Primary.into(),
+        priority: 1,
+        left_ms: 800,
+        objective_ms: 250,
+        ..Unit::default()
+    }
+}
+
+/// Returns a single read that accepts data of an age of 1.5 s.
+pub fn bounded_read(id: &str) -> Unit {
+    Unit {
+        guarantee: Guarantee::BoundedStaleness.into(),
+        staleness_ms: 1_500,
+        ..single(Verb::Read, id)
+    }
+}
+
+/// Returns the first statement of a transaction that may write.
+pub fn first_of_transaction(verb: Verb, id: &str) -> Unit {
+    Unit {
+        begin: Some(Statement::new(format!("{id}-begin"), Verb::Begin, "BEGIN")),
+        ..single(verb, id)
+    }
+}
+
+/// Returns the term and index `1:index`.
+pub fn position(index: u64) -> Position {
+    Position {
+        term: Term(1),
+        index,
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/rates.rs
@@ -0,0 +1,167 @@
+//! Rates of an account over a fleet of vms, in virtual time.
+
+use std::time::Duration;
+
+use mustardbay_policy::names::AccountName;
+use mustardbay_proxy::clock::Moment;
+use mustardbay_proxy::configuration::Account;
+use mustardbay_proxy::rates::Authority;
+use mustardbay_proxy::rates::Purse;
+use mustardbay_proxy::rates::Split;
+use mustardbay_proxy::rates::Take;
+use test_case::test_case;
+
+const TOKEN: u64 = 1_000_000;
+const STEP: Duration = Duration::from_millis(1);
+
+fn account(rate: u64, burst: u64) -> Account {
+    Account {
+        rate: rate * TOKEN,
+        burst: burst * TOKEN,
+    }
+}
+
+/// Seven vms that ask an account's authorities for tokens.
+struct Fleet {
+    now: Moment,
+    account: Account,
+    name: AccountName,
+    authorities: Vec<Authority>,
+    purses: Vec<Purse>,
+    spent: Vec<Moment>,
+    refused: u32,
+}
+
+impl Fleet {
+    fn new(account: Account) -> Self {
+        let now = Moment::from_boot(Duration::from_secs(100));
+        let split = Split::new(account, 7);
+        let mut fleet = Self {
+            now,
+            account,
+            name: AccountName::from("a"),
+            authorities: (0..split.authorities)
+                .map(|_| Authority::default())
+                .collect(),
+            purses: (0..7).map(|_| Purse::new(now)).collect(),
+            spent: Vec::new(),
+            refused: 0,
+        };
+        fleet.hold();
+        fleet
+    }
+
+    fn hold(&mut self) {
+        let split = Split::new(self.account, 7);
+        for authority in &mut self.authorities {
+            authority.hold(&self.name, split, self.now);
+        }
+    }
+
+    /// Wishes to spend one token on a vm.
+    fn take(&mut self, vm: usize) {
+        let mut taken = self.purses[vm].take(self.now);
+        let needed = taken == Take::Wait;
+        if let Some(want) = self.purses[vm].ask(needed, self.now) {
+            let amount = self.draw(vm, want);
+            self.purses[vm].granted(amount, self.now);
+        }
+        if needed {
+            taken = self.purses[vm].take_again(self.now);
+        }
+        match taken {
+            Take::Spent => self.spent.push(self.now),
+            Take::Wait => self.refused += 1,
+        }
+    }
+
+    fn draw(&mut self, vm: usize, want: u64) -> u64 {
+        let count = self.authorities.len();
+        for turn in 0..count {
+            let authority = &mut self.authorities[(vm + turn) % count];
+            let grant = authority.grant(&self.name, want, self.now);
+            let amount = grant.expect("it is the authority").amount;
+            if amount > 0 {
+                return amount;
+            }
+        }
+        0
+    }
+
+    /// Lets `per_s` wishes a second come to vms in uneven shares.
+    fn run(&mut self, time: Duration, per_s: u64) {
+        let end = self.now.after(time);
+        let mut owed = 0;
+        let mut turn = 0_usize;
+        while self.now < end {
+            self.now = self.now.after(STEP);
+            owed += per_s;
+            while owed >= 1_000 {
+                owed -= 1_000;
+                turn += 1;
+                self.take([0, 1, 2, 0, 3, 0, 4, 5, 0, 6][turn % 10]);
+            }
+        }
+    }
+
+    /// Returns the most tokens that were spent in any window.
+    fn most_in(&self, window: Duration) -> usize {
+        let within = |(index, from): (usize, &Moment)| {
+            let end = from.after(window);
+            self.spent[index..]
+                .iter()
+                .take_while(|at| **at < end)
+                .count()
+        };
+        self.spent.iter().enumerate().map(within).max().unwrap_or(0)
+    }
+}
+
+#[test_case(100, 100, 470; "large_account")]
+#[test_case(20, 20, 300; "small_account_flooded")]
+#[test_case(7, 7, 70; "account_of_one_authority")]
+fn flood_gets_the_rate_and_no_more(rate: u64, burst: u64, wishes: u64) {
+    let mut fleet = Fleet::new(account(rate, burst));
+    fleet.run(Duration::from_secs(5), 0);
+    fleet.run(Duration::from_secs(20), wishes);
+    let window = Duration::from_secs(5);
+    let bound = usize::try_from(rate * 5 + burst).expect("small");
+    assert!(
+        fleet.most_in(window) <= bound,
+        "{} above {bound}",
+        fleet.most_in(window)
+    );
+    let served = u64::try_from(fleet.spent.len()).expect("small");
+    assert!(served >= rate * 20 * 97 / 100, "{served} of {}", rate * 20);
+}
+
+#[test_case(100, 62; "large_account")]
+#[test_case(20, 12; "small_account")]
+fn account_within_its_rate_is_not_refused(rate: u64, wishes: u64) {
+    let mut fleet = Fleet::new(account(rate, rate));
+    fleet.run(Duration::from_secs(5), 0);
+    fleet.run(Duration::from_secs(20), wishes);
+    assert_eq!(fleet.refused, 0);
+}
+
+#[test]
+fn lowered_rate_holds_after_a_window() {
+    let mut fleet = Fleet::new(account(100, 100));
+    fleet.run(Duration::from_secs(5), 200);
+    fleet.account = account(20, 20);
+    fleet.hold();
+    fleet.run(Duration::from_secs(1), 200);
+    fleet.spent.clear();
+    fleet.run(Duration::from_secs(10), 200);
+    assert!(fleet.most_in(Duration::from_secs(5)) <= 120);
+}
+
+#[test]
+fn former_authority_grants_nothing() {
+    let mut authority = Authority::default();
+    let now = Moment::from_boot(Duration::from_secs(1));
+    let name = AccountName::from("a");
+    authority.hold(&name, Split::new(account(10, 10), 7), now);
+    authority.retain(|_| false);
+    assert_eq!(authority.grant(&name, TOKEN, now), None);
+}
--- /dev/null
+++ b/crates/proxy/tests/succession.rs
@@ -0,0 +1,170 @@
+//! Steps from a doubt about a primary to its successor.
+
+use std::time::Duration;
+
+use mustardbay_policy::names::DomainName;
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+use mustardbay_policy::position::Term;
+use mustardbay_proxy::clock::Moment;
+use mustardbay_proxy::group::Action;
+use mustardbay_proxy::group::Event;
+use mustardbay_proxy::group::FencingToken;
+use mustardbay_proxy::group::Succession;
+use mustardbay_proxy::pool::Contact;
+use mustardbay_proxy::pool::Registration;
+use mustardbay_proxy::pool::Role;
+use mustardbay_proxy::pool::Sighting;
+
+fn name(text: &str) -> UpstreamName {
+    UpstreamName::from(text)
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_boot(Duration::from_millis(10_000 + millis))
+}
+
+fn contact(upstream: &str, received: u64) -> Contact {
+    let sighting = Sighting {
+        role: Role::Replica,
+        term: Term(1),
+        received: Position::new(1, received),
+    };
+    Contact {
+        registration: Registration {
+            name: name(upstream),
+            address: ([127, 0, 0, 1], 1).into(),
+            domain: DomainName::from("d"),
+            slots: 3,
+            draining: false,
+            role: Role::Replica,
+            incarnation: 1,
+        },
+        silence: Duration::ZERO,
+        failing: None,
+        sighting: Some((sighting, Duration::ZERO)),
+    }
+}
+
+fn failing(upstream: &str) -> Contact {
+    Contact {
+        failing: Some(Duration::from_millis(450)),
+        ..contact(upstream, 100)
+    }
+}
+
+/// Brings a succession to the choice, with a token, at 100 ms.
+fn surveying(contacts: &[Contact]) -> Succession {
+    let lead = name("u0");
+    let mut succession = Succession::new();
+    let asked = succession.tick(Some(&lead), contacts, at(0));
+    assert_eq!(asked, Some(Action::AskPeers(lead)));
+    let claim = succession.handle(Event::NobodyReaches, at(50));
+    assert_eq!(claim, Some(Action::Claim));
+    let survey = succession.handle(Event::Claimed(FencingToken(7)), at(100));
+    assert_eq!(survey, Some(Action::Survey));
+    succession
+}
+
+#[test]
+fn dead_primary_is_followed_by_the_furthest_replica() {
+    let contacts = [failing("u0"), contact("u1", 90), contact("u2", 95)];
+    let mut succession = surveying(&contacts);
+    let promoted = succession.tick(Some(&name("u0")), &contacts, at(300));
+    assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(7))));
+}
+
+#[test]
+fn leaving_replica_is_passed_over() {
+    let mut leaving = contact("u2", 95);
+    leaving.registration.draining = true;
+    let contacts = [failing("u0"), contact("u1", 90), leaving];
+    let mut succession = surveying(&contacts);
+    let promoted = succession.tick(Some(&name("u0")), &contacts, at(300));
+    assert_eq!(promoted, Some(Action::Promote(name("u1"), FencingToken(7))));
+}
+
+#[test]
+fn old_status_does_not_count() {
+    let mut old = contact("u2", 95);
+    old.sighting = old.sighting.map(|(s, _)| (s, Duration::from_secs(2)));
+    let contacts = [failing("u0"), contact("u1", 90), old];
+    let mut succession = surveying(&contacts);
+    let promoted = succession.tick(Some(&name("u0")), &contacts, at(300));
+    assert_eq!(promoted, Some(Action::Promote(name("u1"), FencingToken(7))));
+}
+
+#[test]
+fn primary_that_another_vm_reaches_stays() {
+    let contacts = [failing("u0"), contact("u1", 90)];
+    let mut succession = Succession::new();
+    succession.tick(Some(&name("u0")), &contacts, at(0));
+    assert_eq!(succession.handle(Event::PeerReaches, at(50)), None);
+    let next = succession.tick(Some(&name("u0")), &contacts, at(100));
+    assert_eq!(next, None, "it rests before it asks again");
+}
+
+#[test]
+fn primary_that_is_back_while_others_are_asked_stays() {
+    let mut succession = Succession::new();
+    let lead = name("u0");
+    succession.tick(Some(&lead), &[failing("u0"), contact("u1", 90)], at(0));
+    let back = [contact("u0", 100), contact("u1", 90)];
+    succession.tick(Some(&lead), &back, at(50));
+    assert_eq!(succession.handle(Event::NobodyReaches, at(60)), None);
+}
+
+#[test]
+fn leaving_primary_is_replaced_while_it_serves() {
+    let mut leaving = contact("u0", 100);
+    leaving.registration.draining = true;
+    let contacts = [leaving, contact("u1", 90)];
+    let mut succession = Succession::new();
+    let first = succession.tick(Some(&name("u0")), &contacts, at(0));
+    assert_eq!(first, Some(Action::Claim));
+}
+
+/// A call without an answer may be carried out seconds later: only a higher token rules it out.
+#[test]
+fn unanswered_promotion_is_tried_anew_with_a_higher_token() {
+    let contacts = [failing("u0"), contact("u1", 90), contact("u2", 95)];
+    let lead = name("u0");
+    let mut succession = surveying(&contacts);
+    succession.tick(Some(&lead), &contacts, at(300));
+    assert_eq!(succession.handle(Event::Unknown, at(400)), None);
+    let mut asked_again = false;
+    for millis in (450..4_500).step_by(50) {
+        match succession.tick(Some(&lead), &contacts, at(millis)) {
+            Some(Action::Claim) => asked_again = true,
+            Some(Action::Promote(..)) => panic!("promoted without a new token"),
+            _ => {}
+        }
+    }
+    assert!(asked_again);
+    succession.handle(Event::Claimed(FencingToken(9)), at(4_500));
+    let promoted = succession.tick(Some(&lead), &contacts, at(4_700));
+    assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(9))));
+}
+
+#[test]
+fn successor_that_leads_ends_the_succession() {
+    let contacts = [failing("u0"), contact("u1", 90), contact("u2", 95)];
+    let mut succession = surveying(&contacts);
+    succession.tick(Some(&name("u0")), &contacts, at(300));
+    succession.handle(Event::Accepted, at(400));
+    let next = succession.tick(Some(&name("u2")), &contacts, at(1_400));
+    assert_eq!(next, None);
+    assert!(!succession.is_busy());
+}
+
+#[test]
+fn group_without_primary_gets_one() {
+    let contacts = [contact("u1", 90), contact("u2", 95)];
+    let mut succession = Succession::new();
+    assert_eq!(succession.tick(None, &contacts, at(0)), None);
+    assert_eq!(succession.tick(None, &contacts, at(500)), None);
+    assert_eq!(
+        succession.tick(None, &contacts, at(900)),
+        Some(Action::Claim)
+    );
+}
