--- a/crates/proxy/src/session/conduct.rs
+++ b/crates/proxy/src/session/conduct.rs
@@ -34,18 +34,16 @@
 pub(super) struct Conduct {
     life: Lifecycle,
     grace: Duration,
-    /// Place of this session among those that close, below [`SPREAD`].
+    /// Place of this session among those that close, at most [`SPREAD`].
     place: u32,
 }
 
 impl Conduct {
     pub(super) fn new(number: u64, life: Lifecycle, grace: Duration) -> Self {
-        let place = number % u64::from(SPREAD);
-        Self {
-            life,
-            grace,
-            place: u32::try_from(place).unwrap_or(0),
-        }
+        let place = u32::try_from(number % u64::from(SPREAD)).unwrap_or(0);
+        // A session that begins while the vm stops is there for an operation, so it closes last.
+        let place = if life.is_draining() { SPREAD } else { place };
+        Self { life, grace, place }
     }
 
     /// Waits until the session, or its open transaction, has to be closed.
