Claim a group's duty ahead, and log late statements

Change: a home claims its duty when it becomes home, and again after each promotion; a token serves one call and is forfeited with its lease. A late statement gets a line on the entry and one at the pool.

--- a/crates/proxy/src/group/succession.rs
+++ b/crates/proxy/src/group/succession.rs
@@ -50,8 +50,14 @@
 #[derive(Debug)]
 pub struct Succession {
     stage: Stage,
+    /// Token that no promotion has used yet; claimed ahead, so that a store that is away when the
+    /// primary fails does not hold the promotion up.
     token: Option<FencingToken>,
+    /// Whether a claim ahead is under way.
+    claiming: bool,
     quiet_until: Moment,
+    /// When a claim ahead may be tried again.
+    claim_after: Moment,
     leaderless: Option<Moment>,
 }
 
@@ -62,7 +68,9 @@
         Self {
             stage: Stage::Watching,
             token: None,
+            claiming: false,
             quiet_until: Moment::default(),
+            claim_after: Moment::default(),
             leaderless: None,
         }
     }
@@ -107,11 +115,19 @@
     /// Takes in what became of a step; returns the next step, if one is due.
     pub fn handle(&mut self, event: Event, now: Moment) -> Option<Action> {
         match (self.stage.clone(), event) {
-            (Stage::Asking, Event::NobodyReaches) => {
-                self.stage = Stage::Claiming;
-                Some(Action::Claim)
+            (Stage::Asking, Event::NobodyReaches) => Some(self.prepare(now)),
+            (Stage::Watching | Stage::Asking, Event::Claimed(token)) => {
+                self.claiming = false;
+                self.token = Some(token);
+                None
+            }
+            (Stage::Watching | Stage::Asking, Event::NotClaimed) => {
+                self.claiming = false;
+                self.claim_after = now.after(PAUSE);
+                None
             }
             (Stage::Claiming, Event::Claimed(token)) => {
+                self.claiming = false;
                 self.token = Some(token);
                 self.stage = Stage::Surveying { since: now };
                 Some(Action::Survey)
@@ -134,13 +150,29 @@
         }
     }
 
+    /// Forgets a token whose lease has ended: another vm may have claimed the duty since.
+    pub fn forfeit(&mut self) {
+        self.token = None;
+    }
+
     /// Tells whether a successor is being made.
     #[must_use]
     pub fn is_busy(&self) -> bool {
         self.stage != Stage::Watching
     }
 
+    /// Goes on to the choice, by way of a claim unless a token is at hand.
+    fn prepare(&mut self, now: Moment) -> Action {
+        if self.token.is_some() {
+            self.stage = Stage::Surveying { since: now };
+            return Action::Survey;
+        }
+        self.stage = Stage::Claiming;
+        Action::Claim
+    }
+
     fn rest(&mut self, now: Moment) {
+        self.claiming = false;
         self.stage = Stage::Watching;
         self.quiet_until = now.after(PAUSE);
     }
@@ -168,6 +200,10 @@
         contacts: &[Contact],
         now: Moment,
     ) -> Option<Action> {
+        if self.token.is_none() && !self.claiming && now >= self.claim_after {
+            self.claiming = true;
+            return Some(Action::Claim);
+        }
         if now < self.quiet_until {
             return None;
         }
@@ -176,13 +212,11 @@
             if now.since(since) < MISSING || contacts.is_empty() {
                 return None;
             }
-            self.stage = Stage::Claiming;
-            return Some(Action::Claim);
+            return Some(self.prepare(now));
         };
         let contact = contacts.iter().find(|c| c.registration.name == *lead)?;
         if contact.registration.draining && has_candidate(lead, contacts) {
-            self.stage = Stage::Claiming;
-            return Some(Action::Claim);
+            return Some(self.prepare(now));
         }
         if contact.failing.is_some_and(|failing| failing >= SUSPECT) {
             self.stage = Stage::Asking;
@@ -201,10 +235,15 @@
         let chosen = candidates(lead, contacts)
             .max_by_key(|(received, draining, _)| (!draining, *received))
             .map(|(_, _, name)| name);
-        let (Some(chosen), Some(token)) = (chosen, self.token) else {
+        let Some(chosen) = chosen else {
             self.rest(now);
             return None;
         };
+        // A token serves one call: a second one could be overtaken by the first.
+        let Some(token) = self.token.take() else {
+            self.stage = Stage::Claiming;
+            return Some(Action::Claim);
+        };
         self.stage = Stage::Calling {
             chosen: chosen.clone(),
         };
--- a/crates/proxy/src/pool/output.rs
+++ b/crates/proxy/src/pool/output.rs
@@ -1,6 +1,7 @@
 //! What a pool decides.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
 use mustardbay_policy::names::UpstreamName;
@@ -47,6 +48,21 @@
     UpstreamLost(UpstreamName),
     /// An upstream answers again.
     UpstreamBack(UpstreamName),
+    /// A unit was answered after its due moment.
+    Late {
+        /// The unit.
+        ticket: TicketId,
+        /// Id of its statement.
+        request: String,
+        /// Upstream that ran it.
+        upstream: UpstreamName,
+        /// Time from its arrival to the sending of its statement.
+        waited: Duration,
+        /// Time from there to the answer.
+        ran: Duration,
+        /// Upstreams that it was given to.
+        attempts: u32,
+    },
     /// A unit is tried again, at another upstream where there is one.
     Retried {
         /// The unit.
--- a/crates/proxy/src/pool/reply.rs
+++ b/crates/proxy/src/pool/reply.rs
@@ -175,6 +175,7 @@
         match answer.failure() {
             None => {
                 self.note_service(now.since(asked));
+                self.note_late(ticket, &name, asked, now);
                 self.succeeded(ticket, id, &name, answer, asked, now);
             }
             Some(code) => self.failed(ticket, id, &name, code, answer, now),
@@ -441,6 +442,23 @@
         }
     }
 
+    /// Notes a statement that was answered later than its objective allows.
+    fn note_late(&mut self, ticket: TicketId, name: &UpstreamName, asked: Moment, now: Moment) {
+        let Some(job) = self.jobs.get(&ticket) else {
+            return;
+        };
+        if now.since(job.arrived) > job.unit.objective() {
+            self.out.push(Output::Note(Note::Late {
+                ticket,
+                request: job.statement.id.clone(),
+                upstream: name.clone(),
+                waited: asked.since(job.arrived),
+                ran: now.since(asked),
+                attempts: job.attempts,
+            }));
+        }
+    }
+
     fn note_service(&mut self, took: Duration) {
         self.service = (self.service * (SERVICE_WEIGHT - 1) + took) / SERVICE_WEIGHT;
     }
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -183,6 +183,18 @@
             Note::UpstreamBack(upstream) => {
                 tracing::info!(event = "upstream_back", group = %group, upstream = %upstream);
             }
+            Note::Late {
+                ticket,
+                request,
+                upstream,
+                waited,
+                ran,
+                attempts,
+            } => {
+                tracing::info!(event = "unit_late", group = %group, request = %request,
+                    ticket = %ticket, upstream = %upstream, waited_ms = waited.as_millis(),
+                    ran_ms = ran.as_millis(), attempts);
+            }
             Note::Retried {
                 ticket,
                 request,
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -354,6 +354,14 @@
         answer::error(denial.code(), denial.text(), state)
     }
 
+    /// Returns the latency objective of the session's route; none is longer than any wait.
+    fn objective(&self) -> Duration {
+        let belief = self.entry.board.belief();
+        belief
+            .and_then(|b| Some(b.survey.configuration.routes.get(&self.route)?.objective))
+            .unwrap_or(Duration::MAX)
+    }
+
     /// Logs and counts the outcome of a statement; successes within the objective are only counted.
     fn record(&self, request: &str, verb: Verb, messages: &[ToCaller], began: Moment) {
         let took = Moment::now().since(began);
@@ -366,6 +374,12 @@
             Some((code, _)) => code.name(),
         };
         self.entry.meters.statement(outcome, took);
+        let objective = self.objective();
+        if failure.is_none() && took > objective {
+            tracing::info!(event = "statement_late", request, session = self.number,
+                route = %self.route, verb = ?verb, took_ms = millis(took),
+                objective_ms = millis(objective));
+        }
         if let Some((code, text)) = failure {
             tracing::info!(event = "statement_failed", request, session = self.number,
                 route = %self.route, verb = ?verb, code = ?code, text = %text, took_ms = millis(took));
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -31,6 +31,7 @@
 use crate::group::Succession;
 use crate::link::Links;
 use crate::meters::Meters;
+use crate::platform::LeaseId;
 use crate::platform::Platform;
 use crate::pool::Input;
 use crate::rates::Split;
@@ -63,6 +64,8 @@
     pool: PoolHandle,
     succession: Succession,
     home: bool,
+    /// Lease that the duty was last claimed under.
+    lease: Option<LeaseId>,
 }
 
 /// Divides the work among vms, as far as this one is concerned.
@@ -165,6 +168,11 @@
             return;
         };
         let now = Moment::now();
+        let lease = self.parts.tenure.lease();
+        if lease != ward.lease || !self.parts.tenure.holds(now) {
+            ward.lease = lease;
+            ward.succession.forfeit();
+        }
         let action = ward
             .succession
             .tick(contacts.lead.as_ref(), &contacts.upstreams, now);
@@ -260,6 +268,7 @@
                 pool,
                 succession: Succession::new(),
                 home: false,
+                lease: None,
             }
         })
     }
