--- a/crates/proxy/src/group/succession.rs
+++ b/crates/proxy/src/group/succession.rs
@@ -53,6 +53,8 @@
     /// Token that no promotion has used yet; claimed ahead, so that a store that is away when the
     /// primary fails does not hold the promotion up.
     token: Option<FencingToken>,
+    /// Token of the last claim, used or not.
+    held: Option<FencingToken>,
     /// Whether a claim ahead is under way.
     claiming: bool,
     quiet_until: Moment,
@@ -68,6 +70,7 @@
         Self {
             stage: Stage::Watching,
             token: None,
+            held: None,
             claiming: false,
             quiet_until: Moment::default(),
             claim_after: Moment::default(),
@@ -117,8 +120,7 @@
         match (self.stage.clone(), event) {
             (Stage::Asking, Event::NobodyReaches) => Some(self.prepare(now)),
             (Stage::Watching | Stage::Asking, Event::Claimed(token)) => {
-                self.claiming = false;
-                self.token = Some(token);
+                self.hold(token);
                 None
             }
             (Stage::Watching | Stage::Asking, Event::NotClaimed) => {
@@ -127,8 +129,7 @@
                 None
             }
             (Stage::Claiming, Event::Claimed(token)) => {
-                self.claiming = false;
-                self.token = Some(token);
+                self.hold(token);
                 self.stage = Stage::Surveying { since: now };
                 Some(Action::Survey)
             }
@@ -153,6 +154,19 @@
     /// Forgets a token whose lease has ended: another vm may have claimed the duty since.
     pub fn forfeit(&mut self) {
         self.token = None;
+        self.held = None;
+    }
+
+    /// Returns the token of the duty that is held, which a vm that is no longer home gives back.
+    #[must_use]
+    pub fn held(&self) -> Option<FencingToken> {
+        self.held
+    }
+
+    fn hold(&mut self, token: FencingToken) {
+        self.claiming = false;
+        self.token = Some(token);
+        self.held = Some(token);
     }
 
     /// Tells whether a successor is being made.
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -81,6 +81,9 @@
         lease: LeaseId,
     ) -> Result<Claim, PlatformError>;
 
+    /// Gives the duty that was claimed under a token back; does nothing if it was claimed since.
+    async fn release(&self, group: &GroupName, token: FencingToken) -> Result<(), PlatformError>;
+
     /// Promotes an upstream.
     async fn promote(
         &self,
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -228,6 +228,7 @@
     /// Brings pools and rates in line with a belief.
     fn take_over(&mut self, belief: &Belief) {
         let survey = &belief.survey;
+        let parts = Arc::clone(&self.parts);
         let caretaker: Option<AccountName> = survey.configuration.accounts.keys().next().cloned();
         for (group, limits) in &survey.configuration.groups {
             let ranking = group_ranking(&survey.members, survey.configuration.groups.keys(), group);
@@ -238,7 +239,10 @@
             if ward.home != home {
                 tracing::info!(event = "home_changed", group = %group, home, rank, connections);
                 ward.home = home;
-                ward.succession = Succession::new();
+                let ended = std::mem::take(&mut ward.succession);
+                if let Some(token) = ended.held() {
+                    promotion::release(&parts, group.clone(), token);
+                }
             }
             let upstreams = survey.upstreams.get(group).cloned().unwrap_or_default();
             let inputs = [
--- a/crates/proxy/src/vm/steward/promotion.rs
+++ b/crates/proxy/src/vm/steward/promotion.rs
@@ -9,6 +9,7 @@
 
 use crate::group::Action;
 use crate::group::Event;
+use crate::group::FencingToken;
 use crate::link::AskBody;
 use crate::link::ReplyBody;
 use crate::link::frame::Reach;
@@ -80,6 +81,20 @@
     }
 }
 
+/// Gives a duty back in the background, so that the group's new home need not wait for a lease.
+pub(super) fn release(parts: &Arc<Parts>, group: GroupName, token: FencingToken) {
+    let parts = Arc::clone(parts);
+    tokio::spawn(async move {
+        let released = parts.platform.release(&group, token).await;
+        match released {
+            Ok(()) => tracing::info!(event = "duty_released", group = %group, token = %token),
+            Err(e) => {
+                tracing::warn!(event = "duty_not_released", group = %group, token = %token, error = %e);
+            }
+        }
+    });
+}
+
 /// Carries out a step in the background and tells the steward what became of it.
 fn report(
     steward: ActorRef<Steward>,
