--- a/crates/proxy/src/runner/dial.rs
+++ b/crates/proxy/src/runner/dial.rs
@@ -26,8 +26,11 @@
 use crate::work::Answer;
 use crate::work::Code;
 
-/// Longest wait for a connection to open; the pool gives up on it no earlier.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest wait for an upstream's machine to accept: several round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest wait for an upstream to begin a connection, which waits for a slot there; the pool gives
+/// up on it no earlier.
+const START_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Connection to open and whom to tell of it.
 pub(super) struct Line {
@@ -73,7 +76,7 @@
             tracing::debug!(event = "start_failed", upstream = %self.upstream, error = %e);
             return Err(OpenFailure::Unreachable);
         }
-        let first = tokio::time::timeout(CONNECT_TIMEOUT, stream.next()).await;
+        let first = tokio::time::timeout(START_TIMEOUT, stream.next()).await;
         match first {
             Ok(Some(Ok(FromUpstream::Ready(_, position)))) => Ok((stream, position)),
             Ok(Some(Ok(FromUpstream::Error(code, text)))) => Err(self.refused(code, &text)),
