--- a/crates/proxy/src/clock.rs
+++ b/crates/proxy/src/clock.rs
@@ -66,3 +66,9 @@
         write!(f, "{:.3}", self.0.as_secs_f64())
     }
 }
+
+/// Returns whole milliseconds; a time that does not fit is the longest.
+#[must_use]
+pub fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,6 +14,7 @@
 
 use crate::board::Board;
 use crate::clock::Moment;
+use crate::clock::millis;
 use crate::link::Ask;
 use crate::link::AskBody;
 use crate::link::Reply;
@@ -28,6 +28,7 @@
 use crate::pool::TicketId;
 use crate::rates::Authority;
 use crate::socket;
+use crate::sync::lock;
 
 /// Longest wait for an upstream that another vm asks about.
 const REACH_TIMEOUT: Duration = Duration::from_millis(150);
@@ -166,7 +167,7 @@
             Some(grant) => Drawn {
                 held: true,
                 amount: grant.amount,
-                retry_ms: u32::try_from(grant.retry.as_millis()).unwrap_or(u32::MAX),
+                retry_ms: millis(grant.retry),
             },
             None => Drawn::default(),
         }
@@ -217,7 +218,3 @@
         tracing::debug!(event = "pool_gone");
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/proxy/src/entry/purses.rs
+++ b/crates/proxy/src/entry/purses.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
@@ -23,6 +22,7 @@
 use crate::rates::Purse;
 use crate::rates::Split;
 use crate::rates::Take;
+use crate::sync::lock;
 
 /// Longest wait for one authority: a round trip between regions and the time to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(60);
@@ -195,7 +195,3 @@
         slot.answered.notify_waiters();
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -7,6 +7,7 @@
 use mustardbay_policy::names::VmName;
 
 use crate::board::Board;
+use crate::clock::millis;
 use crate::fleet::Member;
 use crate::fleet::group_ranking;
 use crate::link::AskBody;
@@ -182,7 +183,7 @@
             unit: self.number,
             statement,
             settings,
-            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            left_ms: millis(left),
         };
         let call = self.link.call(self.number, AskBody::Continue(next));
         let reply = match tokio::time::timeout(left + WAY, call).await {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod settings;
 pub mod socket;
 pub mod survey;
+mod sync;
 pub mod tenure;
 pub mod vm;
 pub mod wire;
--- a/crates/proxy/src/link/client.rs
+++ b/crates/proxy/src/link/client.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -27,6 +26,7 @@
 use crate::link::frame::Reply;
 use crate::link::frame::ReplyBody;
 use crate::socket;
+use crate::sync::lock;
 
 /// Longest wait for a link to open: a few round trips between failure domains.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -270,7 +270,3 @@
     tracing::info!(event = "link_lost", address = %address, reason);
     link.end();
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- /dev/null
+++ b/crates/proxy/src/pool/learn.rs
@@ -0,0 +1,91 @@
+//! What answers and failures say about upstreams.
+
+use std::time::Duration;
+
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+
+use crate::clock::Moment;
+use crate::pool::Pool;
+use crate::pool::output::Note;
+use crate::pool::output::Output;
+use crate::pool::ticket::TicketId;
+use crate::work::Code;
+
+/// Weight of the newest service time in the mean, as a divisor.
+const SERVICE_WEIGHT: u32 = 32;
+
+impl Pool {
+    /// Draws what a refusal says about its upstream.
+    pub(super) fn learn_refusal(&mut self, name: &UpstreamName, code: Code, now: Moment) {
+        if code == Code::ReadOnly {
+            self.lose_lead(name, now);
+        }
+    }
+
+    pub(super) fn heard(&mut self, name: &UpstreamName, position: Option<Position>, now: Moment) {
+        let Some(upstream) = self.upstreams.get_mut(name) else {
+            return;
+        };
+        if let Some(position) = position {
+            upstream.lags(self.horizon.beyond(position, now), now);
+        }
+        if upstream.answered(position, now) {
+            self.out
+                .push(Output::Note(Note::UpstreamBack(name.clone())));
+        }
+    }
+
+    pub(super) fn fail_upstream(&mut self, name: &UpstreamName, now: Moment) {
+        let Some(upstream) = self.upstreams.get_mut(name) else {
+            return;
+        };
+        if upstream.failed(now) {
+            self.out
+                .push(Output::Note(Note::UpstreamLost(name.clone())));
+        }
+    }
+
+    pub(super) fn prove(&mut self, name: &UpstreamName, position: Position, asked: Moment) {
+        if self.lead.prove(name, position.term) {
+            let note = Note::LeadProven(name.clone(), position.term);
+            self.out.push(Output::Note(note));
+        }
+        if self.lead.upstream() == Some(name) {
+            self.horizon.note(asked, position);
+        }
+    }
+
+    pub(super) fn lose_lead(&mut self, name: &UpstreamName, now: Moment) {
+        if self.lead.refuse(name, now) {
+            self.out.push(Output::Note(Note::LeadLost(name.clone())));
+        }
+    }
+
+    /// Notes a statement that was answered later than its objective allows.
+    pub(super) fn note_late(
+        &mut self,
+        ticket: TicketId,
+        name: &UpstreamName,
+        asked: Moment,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get(&ticket) else {
+            return;
+        };
+        if now.since(job.arrived) > job.unit.objective() {
+            self.out.push(Output::Note(Note::Late {
+                ticket,
+                request: job.statement.id.clone(),
+                upstream: name.clone(),
+                waited: asked.since(job.arrived),
+                ran: now.since(asked),
+                attempts: job.attempts,
+            }));
+        }
+    }
+
+    pub(super) fn note_service(&mut self, took: Duration) {
+        self.service = (self.service * (SERVICE_WEIGHT - 1) + took) / SERVICE_WEIGHT;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/pool/offer.rs
@@ -0,0 +1,181 @@
+//! Taking units in: at once, or refused at once.
+
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::clock::millis;
+use crate::pool::Pool;
+use crate::pool::job::Job;
+use crate::pool::job::JobStage;
+use crate::pool::job::Rank;
+use crate::pool::output::Output;
+use crate::pool::place::Need;
+use crate::pool::refusal::Cause;
+use crate::pool::refusal::Outcome;
+use crate::pool::refusal::Refusal;
+use crate::pool::ticket::TicketId;
+use crate::work::Answer;
+use crate::work::Code;
+use crate::work::Setting;
+use crate::work::Statement;
+use crate::work::TransactionState;
+use crate::work::Unit;
+
+/// Pause that a refused session is asked to make at least.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(50);
+/// Pause that a session is asked to make while a group has no primary: most of a promotion.
+const PROMOTION_PAUSE: Duration = Duration::from_millis(700);
+
+impl Pool {
+    /// Takes a unit in, or refuses it at once if it cannot be served in time.
+    pub(super) fn offer(&mut self, ticket: TicketId, unit: Unit, now: Moment) {
+        let due = now.after(unit.objective());
+        let rank = Rank {
+            priority: unit.priority,
+            due,
+            arrival: self.next_arrival,
+        };
+        self.next_arrival += 1;
+        if let Some(refusal) = self.refusal_for(&unit, rank, now) {
+            self.finish(ticket, Outcome::Refused(refusal));
+            return;
+        }
+        let job = Job {
+            rank,
+            stage: JobStage::Waiting,
+            deadline: now.after(unit.left()),
+            arrived: now,
+            tried: Vec::new(),
+            attempts: 0,
+            wrote: false,
+            statement: unit.statement.clone(),
+            settings: unit.settings.clone(),
+            released: false,
+            unit,
+        };
+        self.waiting.insert(rank, ticket);
+        self.jobs.insert(ticket, job);
+    }
+
+    /// Takes in the next statement of an open transaction.
+    pub(super) fn resume(
+        &mut self,
+        ticket: TicketId,
+        statement: Statement,
+        settings: Vec<Setting>,
+        deadline: Moment,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&ticket) else {
+            self.finish(ticket, aborted("the transaction's connection is gone"));
+            return;
+        };
+        let JobStage::Pinned(id) = job.stage else {
+            self.finish(ticket, aborted("the transaction has no connection"));
+            return;
+        };
+        job.statement = statement;
+        job.settings = settings;
+        job.deadline = deadline;
+        job.arrived = now;
+        job.stage = JobStage::Running(id);
+        self.held.push_back(ticket);
+    }
+
+    /// Gives a unit up for a session that no longer wants it.
+    pub(super) fn release(&mut self, ticket: TicketId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&ticket) else {
+            return;
+        };
+        match job.stage {
+            JobStage::Waiting => {
+                self.waiting.remove(&job.rank);
+                self.jobs.remove(&ticket);
+            }
+            JobStage::Running(id) if self.held.contains(&ticket) => {
+                self.held.retain(|held| *held != ticket);
+                self.jobs.remove(&ticket);
+                self.undo(id, now);
+            }
+            JobStage::Running(_) => job.released = true,
+            JobStage::Pinned(id) => {
+                self.jobs.remove(&ticket);
+                self.undo(id, now);
+            }
+            JobStage::Dead => {
+                self.jobs.remove(&ticket);
+            }
+        }
+    }
+
+    /// Gives up every unit that came by a link.
+    pub(super) fn release_link(&mut self, link: u64, now: Moment) {
+        let first = TicketId { link, number: 0 };
+        let last = TicketId {
+            link,
+            number: u64::MAX,
+        };
+        let tickets: Vec<TicketId> = self.jobs.range(first..=last).map(|(t, _)| *t).collect();
+        for ticket in tickets {
+            self.release(ticket, now);
+        }
+    }
+
+    /// Tells a session what became of its statement.
+    pub(super) fn finish(&mut self, ticket: TicketId, outcome: Outcome) {
+        self.out.push(Output::Finish(ticket, outcome));
+    }
+
+    /// Returns why a unit cannot be served in time, if it cannot.
+    fn refusal_for(&self, unit: &Unit, rank: Rank, now: Moment) -> Option<Refusal> {
+        if self.retired {
+            return Some(Refusal::new(Cause::Draining, 0));
+        }
+        let needs_lead = self.need(unit, now) == Need::Lead;
+        if needs_lead && !self.lead_usable(now) {
+            return Some(Refusal::new(Cause::NoPrimary, millis(PROMOTION_PAUSE)));
+        }
+        let slots = self.slots(needs_lead, now);
+        if slots == 0 {
+            return Some(Refusal::new(Cause::NoUpstream, millis(PROMOTION_PAUSE)));
+        }
+        let ahead = self.ahead(needs_lead, rank, now);
+        let wait = self.service * ahead / slots;
+        let left = unit.left().saturating_sub(self.service);
+        (wait > left).then(|| Refusal::new(Cause::Overloaded, millis(wait.max(SHORTEST_PAUSE))))
+    }
+
+    /// Tells whether the believed primary can be reached, as far as is known.
+    pub(super) fn lead_usable(&self, now: Moment) -> bool {
+        let lead = self.lead.upstream().and_then(|u| self.upstreams.get(u));
+        lead.is_some_and(|u| u.is_usable(now) && u.takes_work(true, now))
+    }
+
+    fn slots(&self, needs_lead: bool, now: Moment) -> u32 {
+        let usable = self.upstreams.iter().filter(|(name, upstream)| {
+            let leads = self.lead.upstream() == Some(*name);
+            upstream.is_usable(now) && upstream.takes_work(leads, now) && (leads || !needs_lead)
+        });
+        usable
+            .map(|(_, upstream)| upstream.registration.slots)
+            .sum()
+    }
+
+    fn ahead(&self, needs_lead: bool, rank: Rank, now: Moment) -> u32 {
+        let before = self.waiting.range(..rank).filter(|(other, ticket)| {
+            let job = self.jobs.get(ticket);
+            let competes = job.is_some_and(|job| !needs_lead || job.unit.needs_primary());
+            competes && !(other.priority == rank.priority && self.is_late(**other, now))
+        });
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+}
+
+/// Returns the outcome of a statement whose transaction keeps nothing.
+pub(super) fn aborted(text: &str) -> Outcome {
+    Outcome::Answered(Answer::failed(
+        Code::Aborted,
+        text,
+        TransactionState::Failed,
+    ))
+}
--- /dev/null
+++ b/crates/proxy/src/pool/place.rs
@@ -0,0 +1,193 @@
+//! Where a unit runs, and on which connection.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+
+use crate::clock::Moment;
+use crate::pool::Pool;
+use crate::pool::connection::ConnectionId;
+use crate::pool::connection::Stage;
+use crate::pool::job::Job;
+use crate::pool::ticket::TicketId;
+use crate::pool::upstream::Upstream;
+use crate::work::Guarantee;
+use crate::work::Unit;
+
+/// Statements beyond its slots that an upstream is given, so that none idles for a round trip.
+const AHEAD: u32 = 1;
+/// Time that one query takes which holds no slot: a round trip between failure domains.
+const ROUND_TRIP: Duration = Duration::from_millis(1);
+/// Time that opening a connection costs an upstream, against waiting for another upstream.
+const OPENING: Duration = Duration::from_millis(20);
+/// Connections that may be closing at an upstream while others are opened in their place.
+const REPLACED: u32 = 2;
+
+/// Where a unit may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Need {
+    /// At the primary, which must prove that it leads.
+    Lead,
+    /// Wherever the log holds a position.
+    Position(Position),
+}
+
+/// How a unit gets a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Way {
+    /// It takes an idle connection.
+    Use(ConnectionId),
+    /// It opens one, after closing another if there is no room.
+    Open(UpstreamName, Option<ConnectionId>),
+}
+
+/// Connections of each upstream, counted once for a round of dispatching.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct Load {
+    pub(super) connections: u32,
+    pub(super) busy: u32,
+}
+
+impl Pool {
+    /// Returns what a unit needs of its upstream.
+    pub(super) fn need(&self, unit: &Unit, now: Moment) -> Need {
+        if unit.needs_primary() {
+            return Need::Lead;
+        }
+        let staleness = Duration::from_millis(unit.staleness_ms.into());
+        let Some(floor) = self.horizon.floor(staleness, now) else {
+            return Need::Lead;
+        };
+        let own = unit
+            .floor
+            .filter(|_| unit.guarantee() == Guarantee::ReadYourWrites)
+            .map(Position::from);
+        Need::Position(own.map_or(floor, |own| own.max(floor)))
+    }
+
+    pub(super) fn loads(&self) -> BTreeMap<UpstreamName, Load> {
+        let mut loads: BTreeMap<UpstreamName, Load> = BTreeMap::new();
+        for connection in self.connections.values() {
+            let load = loads.entry(connection.upstream.clone()).or_default();
+            load.connections += 1;
+            load.busy += u32::from(connection.holds_slot());
+        }
+        loads
+    }
+
+    pub(super) fn has_room(&self, loads: &BTreeMap<UpstreamName, Load>, now: Moment) -> bool {
+        self.upstreams.iter().any(|(name, upstream)| {
+            let busy = loads.get(name).map_or(0, |load| load.busy);
+            upstream.is_usable(now) && busy < limit(Some(upstream))
+        })
+    }
+
+    /// Chooses the upstream that serves a unit soonest, and how.
+    pub(super) fn place(
+        &self,
+        ticket: TicketId,
+        loads: &BTreeMap<UpstreamName, Load>,
+        now: Moment,
+    ) -> Option<Way> {
+        let job = self.jobs.get(&ticket).filter(|job| now < job.deadline)?;
+        let need = self.need(&job.unit, now);
+        let account = AccountName::from(job.unit.account.as_str());
+        let mut best: Option<(Duration, Way)> = None;
+        for (name, upstream) in &self.upstreams {
+            if !self.is_eligible(name, upstream, job, need, now) {
+                continue;
+            }
+            let load = loads.get(name).copied().unwrap_or_default();
+            if load.busy >= limit(Some(upstream)) {
+                continue;
+            }
+            let Some((way, toll)) = self.way_to(name, upstream, &account, job, load, now) else {
+                continue;
+            };
+            let cost = self.wait_at(upstream, load) + toll + self.bias(name, need);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, way));
+            }
+        }
+        best.map(|(_, way)| way)
+    }
+
+    fn is_eligible(
+        &self,
+        name: &UpstreamName,
+        upstream: &Upstream,
+        job: &Job,
+        need: Need,
+        now: Moment,
+    ) -> bool {
+        let leads = self.lead.upstream() == Some(name);
+        if !upstream.is_usable(now) || !upstream.takes_work(leads, now) {
+            return false;
+        }
+        match need {
+            Need::Lead => leads,
+            Need::Position(floor) => {
+                let age = self.horizon.age_of(floor, now);
+                !job.tried.contains(name) && (leads || upstream.probably_holds(floor, age, now))
+            }
+        }
+    }
+
+    /// Returns how a unit gets a connection at an upstream, and what that costs.
+    fn way_to(
+        &self,
+        name: &UpstreamName,
+        upstream: &Upstream,
+        account: &AccountName,
+        job: &Job,
+        load: Load,
+        now: Moment,
+    ) -> Option<(Way, Duration)> {
+        let here = || {
+            self.connections
+                .iter()
+                .filter(|(_, c)| c.upstream == *name && c.stage == Stage::Idle)
+        };
+        let own = here()
+            .filter(|(_, c)| c.account == *account)
+            .map(|(id, c)| (c.distance(&job.settings), *id))
+            .min();
+        if let Some((distance, id)) = own {
+            let turns = u32::try_from(distance).unwrap_or(u32::MAX);
+            return Some((Way::Use(id), ROUND_TRIP.saturating_mul(turns)));
+        }
+        if !upstream.may_open(now) {
+            return None;
+        }
+        let lingering = upstream.lingering(now);
+        if load.connections + lingering < self.share {
+            return Some((Way::Open(name.clone(), None), OPENING));
+        }
+        if lingering >= REPLACED {
+            return None;
+        }
+        let (_, victim) = here().map(|(id, c)| (c.since, *id)).min()?;
+        Some((Way::Open(name.clone(), Some(victim)), OPENING * 2))
+    }
+
+    /// Returns how long a statement waits at an upstream, from what is running there.
+    fn wait_at(&self, upstream: &Upstream, load: Load) -> Duration {
+        self.service * load.busy / upstream.registration.slots.max(1)
+    }
+
+    /// Returns what a read at the primary costs the writes that only it can serve.
+    fn bias(&self, name: &UpstreamName, need: Need) -> Duration {
+        match need {
+            Need::Position(_) if self.lead.upstream() == Some(name) => self.service / 2,
+            Need::Position(_) | Need::Lead => Duration::ZERO,
+        }
+    }
+}
+
+/// Returns the statements that an upstream is given at a time.
+pub(super) fn limit(upstream: Option<&Upstream>) -> u32 {
+    upstream.map_or(0, |u| u.registration.slots + AHEAD)
+}
--- a/crates/proxy/src/pool/reply.rs
+++ b/crates/proxy/src/pool/reply.rs
@@ -1,6 +1,4 @@
-//! What an answer, or the loss of a connection, means for the unit on it.
-
-use std::time::Duration;
+//! What an answer means for the unit on its connection.
 
 use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::position::Position;
@@ -9,15 +7,10 @@
 use crate::pool::Pool;
 use crate::pool::connection::ConnectionId;
 use crate::pool::connection::Stage;
-use crate::pool::dispatch::aborted;
 use crate::pool::input::OpenFailure;
 use crate::pool::job::JobStage;
-use crate::pool::output::Note;
-use crate::pool::output::Output;
 use crate::pool::output::Retry;
-use crate::pool::refusal::Cause;
 use crate::pool::refusal::Outcome;
-use crate::pool::refusal::Refusal;
 use crate::pool::step::Purpose;
 use crate::pool::step::Step;
 use crate::pool::ticket::TicketId;
@@ -28,13 +21,6 @@
 use crate::work::TransactionState;
 use crate::work::Verb;
 
-/// Times that a unit is given to an upstream before it is refused.
-const MAX_ATTEMPTS: u32 = 6;
-/// Weight of the newest service time in the mean, as a divisor.
-const SERVICE_WEIGHT: u32 = 32;
-/// Pause that a session is asked to make after its unit was refused by several upstreams.
-const RETRY_PAUSE_MS: u32 = 100;
-
 impl Pool {
     /// Notes that a connection is open and runs the unit that it was opened for.
     pub(super) fn opened(&mut self, id: ConnectionId, position: Option<Position>, now: Moment) {
@@ -303,163 +289,4 @@
             self.send_next(id, now);
         }
     }
-
-    /// Takes in that a connection broke, and decides what that means for its unit.
-    pub(super) fn lost(&mut self, id: ConnectionId, now: Moment) {
-        let Some(connection) = self.connections.remove(&id) else {
-            return;
-        };
-        let name = connection.upstream.clone();
-        if let Some(upstream) = self.upstreams.get_mut(&name) {
-            upstream.closed(now);
-            upstream.doubt(now);
-        }
-        let Some(ticket) = connection.ticket else {
-            return;
-        };
-        let in_hand = connection.steps.front().map(|step| step.purpose);
-        self.interrupted(ticket, &name, in_hand, Retry::ConnectionLost, now);
-    }
-
-    /// Decides what becomes of a unit whose connection is gone.
-    ///
-    /// `in_hand` is the query that was in flight; nothing if the connection was idle in between.
-    pub(super) fn interrupted(
-        &mut self,
-        ticket: TicketId,
-        name: &UpstreamName,
-        in_hand: Option<Purpose>,
-        reason: Retry,
-        now: Moment,
-    ) {
-        let Some(job) = self.jobs.get_mut(&ticket) else {
-            return;
-        };
-        let first = job.statement == job.unit.statement;
-        let sent = in_hand == Some(Purpose::Run);
-        let waits = matches!(job.stage, JobStage::Running(_));
-        if first && waits && (!sent || job.unit.is_repeatable()) {
-            self.retry(ticket, name, reason, now);
-            return;
-        }
-        if !waits {
-            job.stage = JobStage::Dead;
-            return;
-        }
-        let nothing_kept = !sent || job.leaves_nothing();
-        self.held.retain(|held| *held != ticket);
-        self.jobs.remove(&ticket);
-        let outcome = if nothing_kept {
-            aborted("the transaction's connection broke")
-        } else {
-            Outcome::in_doubt("the connection broke before the answer came")
-        };
-        self.finish(ticket, outcome);
-    }
-
-    /// Gives a unit to another upstream, or refuses it if that is of no use.
-    pub(super) fn retry(
-        &mut self,
-        ticket: TicketId,
-        name: &UpstreamName,
-        reason: Retry,
-        now: Moment,
-    ) {
-        let Some(job) = self.jobs.get_mut(&ticket) else {
-            return;
-        };
-        if job.released {
-            self.jobs.remove(&ticket);
-            return;
-        }
-        let request = job.statement.id.clone();
-        if !job.tried.contains(name) {
-            job.tried.push(name.clone());
-        }
-        job.stage = JobStage::Waiting;
-        let spent = job.attempts >= MAX_ATTEMPTS || now >= job.deadline;
-        if spent {
-            self.jobs.remove(&ticket);
-            let refusal = Refusal::new(Cause::NoUpstream, RETRY_PAUSE_MS);
-            self.finish(ticket, Outcome::Refused(refusal));
-            return;
-        }
-        if job.tried.len() >= self.upstreams.len() {
-            job.tried.clear();
-        }
-        self.waiting.insert(job.rank, ticket);
-        self.out.push(Output::Note(Note::Retried {
-            ticket,
-            request,
-            upstream: name.clone(),
-            reason,
-        }));
-    }
-
-    /// Draws what a refusal says about its upstream.
-    fn learn_refusal(&mut self, name: &UpstreamName, code: Code, now: Moment) {
-        if code == Code::ReadOnly {
-            self.lose_lead(name, now);
-        }
-    }
-
-    fn heard(&mut self, name: &UpstreamName, position: Option<Position>, now: Moment) {
-        let Some(upstream) = self.upstreams.get_mut(name) else {
-            return;
-        };
-        if let Some(position) = position {
-            upstream.lags(self.horizon.beyond(position, now), now);
-        }
-        if upstream.answered(position, now) {
-            self.out
-                .push(Output::Note(Note::UpstreamBack(name.clone())));
-        }
-    }
-
-    pub(super) fn fail_upstream(&mut self, name: &UpstreamName, now: Moment) {
-        let Some(upstream) = self.upstreams.get_mut(name) else {
-            return;
-        };
-        if upstream.failed(now) {
-            self.out
-                .push(Output::Note(Note::UpstreamLost(name.clone())));
-        }
-    }
-
-    fn prove(&mut self, name: &UpstreamName, position: Position, asked: Moment) {
-        if self.lead.prove(name, position.term) {
-            let note = Note::LeadProven(name.clone(), position.term);
-            self.out.push(Output::Note(note));
-        }
-        if self.lead.upstream() == Some(name) {
-            self.horizon.note(asked, position);
-        }
-    }
-
-    fn lose_lead(&mut self, name: &UpstreamName, now: Moment) {
-        if self.lead.refuse(name, now) {
-            self.out.push(Output::Note(Note::LeadLost(name.clone())));
-        }
-    }
-
-    /// Notes a statement that was answered later than its objective allows.
-    fn note_late(&mut self, ticket: TicketId, name: &UpstreamName, asked: Moment, now: Moment) {
-        let Some(job) = self.jobs.get(&ticket) else {
-            return;
-        };
-        if now.since(job.arrived) > job.unit.objective() {
-            self.out.push(Output::Note(Note::Late {
-                ticket,
-                request: job.statement.id.clone(),
-                upstream: name.clone(),
-                waited: asked.since(job.arrived),
-                ran: now.since(asked),
-                attempts: job.attempts,
-            }));
-        }
-    }
-
-    fn note_service(&mut self, took: Duration) {
-        self.service = (self.service * (SERVICE_WEIGHT - 1) + took) / SERVICE_WEIGHT;
-    }
 }
--- a/crates/proxy/src/pool/upkeep.rs
+++ b/crates/proxy/src/pool/upkeep.rs
@@ -8,10 +8,12 @@
 use mustardbay_policy::names::UpstreamName;
 
 use crate::clock::Moment;
+use crate::clock::millis;
 use crate::pool::Pool;
 use crate::pool::connection::ConnectionId;
 use crate::pool::connection::Stage;
 use crate::pool::job::JobStage;
+use crate::pool::offer::aborted;
 use crate::pool::output::Retry;
 use crate::pool::refusal::Cause;
 use crate::pool::refusal::Outcome;
@@ -41,6 +43,8 @@
 const SILENT_READ: Duration = Duration::from_millis(300);
 /// Service times of silence after which a read is tried at another upstream.
 const SILENT_SERVICE_TIMES: u32 = 8;
+/// Service times after which a unit that was crowded out may come again: most of a full queue.
+const RETRY_SERVICE_TIMES: u32 = 4;
 /// Times that a read may be moved because of silence.
 const SILENT_MOVES: u32 = 2;
 
@@ -182,7 +186,7 @@
             let rank = job.rank;
             self.waiting.remove(&rank);
             self.jobs.remove(&ticket);
-            let pause = u32::try_from(self.service.as_millis() * 4).unwrap_or(u32::MAX);
+            let pause = millis(self.service * RETRY_SERVICE_TIMES);
             let refusal = Refusal::new(cause, pause);
             self.finish(ticket, Outcome::Refused(refusal));
         }
@@ -279,7 +283,7 @@
         self.jobs.remove(&ticket);
         self.undo(id, now);
         let text = "the statement got no slot in time";
-        self.finish(ticket, super::dispatch::aborted(text));
+        self.finish(ticket, aborted(text));
     }
 
     /// Closes a connection and sends its unit elsewhere, where that is safe.
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -8,6 +8,7 @@
 use mustardbay_policy::position::Position;
 
 use crate::clock::Moment;
+use crate::clock::millis;
 use crate::configuration::Key;
 use crate::entry::Admitted;
 use crate::entry::Denial;
@@ -396,8 +397,3 @@
         }
     }
 }
-
-/// Returns whole milliseconds.
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/proxy/src/tenure.rs
+++ b/crates/proxy/src/tenure.rs
@@ -1,11 +1,11 @@
 //! This vm's lease: whether its place in the fleet is in force.
 
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use crate::clock::Moment;
 use crate::platform::LeaseId;
+use crate::sync::lock;
 
 /// Part of a lease's term that is left unused, for clocks that drift.
 const MARGIN: Duration = Duration::from_millis(200);
@@ -25,7 +25,7 @@
 impl Tenure {
     /// Notes that a lease was granted or renewed by a call sent at `asked`.
     pub fn renew(&self, lease: LeaseId, asked: Moment, term: Duration) {
-        *self.lock() = State {
+        *lock(&self.state) = State {
             lease: Some(lease),
             until: asked.after(term.saturating_sub(MARGIN)),
         };
@@ -33,21 +33,17 @@
 
     /// Notes that the lease has ended.
     pub fn end(&self) {
-        *self.lock() = State::default();
+        *lock(&self.state) = State::default();
     }
 
     /// Returns the lease, if there is one that is not known to have ended.
     pub fn lease(&self) -> Option<LeaseId> {
-        self.lock().lease
+        lock(&self.state).lease
     }
 
     /// Tells whether the lease certainly holds.
     pub fn holds(&self, now: Moment) -> bool {
-        let state = self.lock();
+        let state = lock(&self.state);
         state.lease.is_some() && now < state.until
     }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
