Look at the settings file again on SIGHUP, and go on serving

Change: SIGHUP, or a changed file seen every 5 s, has the file read and checked; a bad one is logged and what is in force stays; a valid change is in force from the next start.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod platform;
 pub mod pool;
 pub mod rates;
+pub mod reload;
 pub mod runner;
 pub mod session;
 pub mod settings;
--- /dev/null
+++ b/crates/proxy/tests/reload.rs
@@ -0,0 +1,51 @@
+//! Settings file that changes while a vm runs.
+
+use std::path::PathBuf;
+
+use mustardbay_process::settings;
+use mustardbay_process::timer::Timer;
+use mustardbay_proxy::reload;
+use mustardbay_proxy::reload::Look;
+use mustardbay_proxy::reload::look;
+use mustardbay_proxy::settings::VmSettings;
+use nix::sys::signal::Signal;
+use nix::unistd::Pid;
+use test_case::test_case;
+
+const FILE: &str = "vm: vm0
+domain: d0
+listen: {entry: 127.0.0.1:1, ready: 127.0.0.1:2, link: 127.0.0.1:3, admin: 127.0.0.1:4}
+platform: {store: 127.0.0.1:5, control: 127.0.0.1:6}
+bounds: {withdrawal_ms: 5000, grace_ms: 6000}
+cores: 0.25
+";
+
+fn written(folder: &tempfile::TempDir, text: &str) -> PathBuf {
+    let path = folder.path().join("vm.yaml");
+    std::fs::write(&path, text).expect("a temporary file");
+    path
+}
+
+#[test_case("d0", "d0", Look::Same; "same")]
+#[test_case("6000", "8000", Look::Changed; "other_grace")]
+#[test_case("6000", "8", Look::Refused; "value_out_of_bounds")]
+#[test_case("cores", "kernels", Look::Refused; "unknown_key")]
+fn look_compares_with_what_is_in_force(from: &str, to: &str, expected: Look) {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let path = written(&folder, FILE);
+    let running = settings::load::<VmSettings>(&path).expect("valid");
+    written(&folder, &FILE.replace(from, to));
+    assert_eq!(look(&path, &running), expected);
+}
+
+/// SIGHUP ended every vm: silent-connections, seven exits on either site.
+#[tokio::test]
+async fn hangup_does_not_end_the_process() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let path = written(&folder, FILE);
+    let running = settings::load::<VmSettings>(&path).expect("valid");
+    let timer = Timer::new();
+    reload::watch(path, running, &timer).expect("the handler is installed");
+    nix::sys::signal::kill(Pid::this(), Signal::SIGHUP).expect("it is sent");
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+}
