--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -2,8 +2,8 @@
 
 mod admission;
 mod listener;
-mod purses;
 mod router;
+mod token_cache;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,9 +17,9 @@
 pub use admission::current;
 pub use admission::look_up;
 pub use listener::serve;
-pub use purses::Purses;
 pub use router::Place;
 pub use router::Router;
+pub use token_cache::TokenCache;
 
 use crate::board::Board;
 use crate::meters::Meters;
@@ -43,7 +43,7 @@
     /// Way to the pools.
     pub router: Router,
     /// Tokens of the accounts.
-    pub purses: Arc<Purses>,
+    pub tokens: Arc<TokenCache>,
     /// Life of the process.
     pub life: Lifecycle,
     /// Instruments.
--- a/crates/proxy/src/entry/purses.rs
+++ b/crates/proxy/src/entry/token_cache.rs
@@ -19,7 +19,7 @@
 use crate::link::ReplyBody;
 use crate::link::frame::Draw;
 use crate::link::frame::Drawn;
-use crate::rates::Purse;
+use crate::rates::LocalTokens;
 use crate::rates::Split;
 use crate::rates::Take;
 use crate::sync::lock;
@@ -36,14 +36,14 @@
 /// One account's tokens and who waits for them.
 #[derive(Debug)]
 struct Slot {
-    purse: Purse,
+    local: LocalTokens,
     answered: Arc<Notify>,
     retry_ms: u32,
 }
 
 /// Tokens of every account that this vm serves.
 #[derive(Debug)]
-pub struct Purses {
+pub struct TokenCache {
     slots: Mutex<BTreeMap<AccountName, Slot>>,
     /// Authorities that did not answer, and when.
     silent: Mutex<BTreeMap<VmName, Instant>>,
@@ -52,7 +52,7 @@
     links: Arc<Links>,
 }
 
-impl Purses {
+impl TokenCache {
     /// Creates the tokens of a vm: none.
     #[must_use]
     pub fn new(me: VmName, board: Arc<Board>, links: Arc<Links>) -> Self {
@@ -96,14 +96,14 @@
         let now = Moment::now();
         let mut slots = lock(&self.slots);
         let slot = slots.entry(account.clone()).or_insert_with(|| Slot {
-            purse: Purse::new(now),
+            local: LocalTokens::new(now),
             answered: Arc::new(Notify::new()),
             retry_ms: DEFAULT_RETRY_MS,
         });
         let taken = if first {
-            slot.purse.take(now)
+            slot.local.take(now)
         } else {
-            slot.purse.take_again(now)
+            slot.local.take_again(now)
         };
         (taken, Arc::clone(&slot.answered))
     }
@@ -113,15 +113,15 @@
         let now = Moment::now();
         let want = lock(&self.slots)
             .get_mut(account)
-            .and_then(|slot| slot.purse.ask(needed, now));
+            .and_then(|slot| slot.local.ask(needed, now));
         let Some(want) = want else {
             return;
         };
-        let purses = Arc::clone(self);
+        let tokens = Arc::clone(self);
         let account = account.clone();
         tokio::spawn(async move {
-            let drawn = purses.ask(&account, want).await;
-            purses.take_in(&account, drawn, now);
+            let drawn = tokens.ask(&account, want).await;
+            tokens.take_in(&account, drawn, now);
         });
     }
 
@@ -191,7 +191,7 @@
             return;
         };
         slot.retry_ms = drawn.map_or(DEFAULT_RETRY_MS, |d| d.retry_ms.max(1));
-        slot.purse.granted(drawn.map_or(0, |d| d.amount), asked);
+        slot.local.granted(drawn.map_or(0, |d| d.amount), asked);
         slot.answered.notify_waiters();
     }
 }
--- a/crates/proxy/src/link/server.rs
+++ b/crates/proxy/src/link/server.rs
@@ -10,9 +10,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use crate::desk::Desk;
 use crate::link::frame::Ask;
 use crate::link::frame::Reply;
+use crate::link_handler::LinkHandler;
 use crate::socket;
 
 /// Silence after which a link is dropped; its entry pings it every two seconds.
@@ -20,13 +20,13 @@
 /// Longest wait for the other side to read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Takes links and hands what they ask to the desk, until the process ends.
-pub async fn serve(listener: TcpListener, desk: Arc<Desk>) {
+/// Takes links and hands what they ask to the handler, until the process ends.
+pub async fn serve(listener: TcpListener, handler: Arc<LinkHandler>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 socket::prepare(&stream);
-                tokio::spawn(carry(stream, Arc::clone(&desk)));
+                tokio::spawn(carry(stream, Arc::clone(&handler)));
             }
             Err(e) => {
                 tracing::warn!(event = "link_accept_failed", error = %e);
@@ -36,14 +36,14 @@
     }
 }
 
-async fn carry(stream: TcpStream, desk: Arc<Desk>) {
+async fn carry(stream: TcpStream, handler: Arc<LinkHandler>) {
     let (mut sink, mut asks) = framed::<_, Reply, Ask>(stream).split();
     let (replies, mut outgoing) = mpsc::unbounded_channel::<Reply>();
-    let link = desk.open_link(replies);
+    let link = handler.open_link(replies);
     let reason = loop {
         tokio::select! {
             ask = tokio::time::timeout(SILENCE, asks.next()) => match ask {
-                Ok(Some(Ok(ask))) => desk.handle(link, ask),
+                Ok(Some(Ok(ask))) => handler.handle(link, ask),
                 Ok(Some(Err(_)) | None) => break "closed",
                 Err(tokio::time::error::Elapsed { .. }) => break "silent",
             },
@@ -63,5 +63,5 @@
         }
     };
     tracing::debug!(event = "link_ended", link, reason);
-    desk.close_link(link);
+    handler.close_link(link);
 }
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/link_handler.rs
@@ -40,7 +40,7 @@
 
 /// Everything that links can ask of this vm.
 #[derive(Debug)]
-pub struct Desk {
+pub struct LinkHandler {
     board: Arc<Board>,
     pools: Mutex<BTreeMap<GroupName, PoolInbox>>,
     links: Mutex<BTreeMap<u64, mpsc::UnboundedSender<Reply>>>,
@@ -48,8 +48,8 @@
     authority: Mutex<Authority>,
 }
 
-impl Desk {
-    /// Creates a desk without pools.
+impl LinkHandler {
+    /// Creates a handler without pools.
     #[must_use]
     pub fn new(board: Arc<Board>) -> Self {
         Self {
@@ -179,11 +179,11 @@
             tracing::warn!(event = "reach_unreadable", link, address);
             return;
         };
-        let desk = Arc::clone(self);
+        let handler = Arc::clone(self);
         tokio::spawn(async move {
             let reached = socket::connect(address, REACH_TIMEOUT).await.is_ok();
             let body = ReplyBody::Reached(Reached { reached });
-            desk.reply(link, number, body);
+            handler.reply(link, number, body);
         });
     }
 
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -73,7 +73,7 @@
     home: bool,
     retired: bool,
     /// Account that connections without a caller are opened for.
-    caretaker: Option<AccountName>,
+    status_account: Option<AccountName>,
     /// Mean time that a statement holds a slot.
     service: Duration,
     next_connection: u64,
@@ -96,7 +96,7 @@
             share: 0,
             home: false,
             retired: false,
-            caretaker: None,
+            status_account: None,
             service: upkeep::FIRST_SERVICE_TIME,
             next_connection: 0,
             next_arrival: 0,
@@ -127,8 +127,8 @@
             Input::Share {
                 connections,
                 home,
-                caretaker,
-            } => self.take_share(connections, home, caretaker),
+                status_account,
+            } => self.take_share(connections, home, status_account),
             Input::Retire => self.retired = true,
             Input::Tick => self.tick(now),
         }
--- a/crates/proxy/src/pool/input.rs
+++ b/crates/proxy/src/pool/input.rs
@@ -66,7 +66,7 @@
         /// Whether this vm is the group's home.
         home: bool,
         /// Account that connections without a caller are opened for.
-        caretaker: Option<AccountName>,
+        status_account: Option<AccountName>,
     },
     /// The vm leaves: no new units.
     Retire,
--- a/crates/proxy/src/pool/upkeep.rs
+++ b/crates/proxy/src/pool/upkeep.rs
@@ -128,10 +128,15 @@
     }
 
     /// Takes over the number of connections that this vm may hold.
-    pub(super) fn take_share(&mut self, share: u32, home: bool, caretaker: Option<AccountName>) {
+    pub(super) fn take_share(
+        &mut self,
+        share: u32,
+        home: bool,
+        status_account: Option<AccountName>,
+    ) {
         self.share = share;
         self.home = home;
-        self.caretaker = caretaker;
+        self.status_account = status_account;
     }
 
     /// Closes idle connections beyond the share.
@@ -376,7 +381,7 @@
         if opening || here >= self.share as usize {
             return None;
         }
-        let account = self.caretaker.clone()?;
+        let account = self.status_account.clone()?;
         self.open(name, account, None, now)
     }
 }
--- a/crates/proxy/src/rates.rs
+++ b/crates/proxy/src/rates.rs
@@ -6,12 +6,12 @@
 //! accrue in that time, so that no window holds more than the burst and the rate.
 
 mod authority;
-mod purse;
+mod local_tokens;
 mod split;
 
 pub use authority::Authority;
 pub use authority::Grant;
-pub use purse::Purse;
-pub use purse::Take;
+pub use local_tokens::LocalTokens;
+pub use local_tokens::Take;
 pub use split::GRANT_TERM;
 pub use split::Split;
--- a/crates/proxy/src/rates/purse.rs
+++ b/crates/proxy/src/rates/local_tokens.rs
@@ -30,7 +30,7 @@
 
 /// Tokens of one account on one vm.
 #[derive(Debug)]
-pub struct Purse {
+pub struct LocalTokens {
     /// Granted amounts with the moment at which each lapses.
     granted: VecDeque<(Moment, u64)>,
     /// Operations a second, averaged.
@@ -39,8 +39,8 @@
     asked: Option<Moment>,
 }
 
-impl Purse {
-    /// Creates an empty purse.
+impl LocalTokens {
+    /// Creates an empty local.
     #[must_use]
     pub fn new(now: Moment) -> Self {
         Self {
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -14,8 +14,8 @@
 use tokio::sync::oneshot;
 
 use crate::clock::Moment;
-use crate::desk::Desk;
-use crate::desk::PoolInbox;
+use crate::link_handler::LinkHandler;
+use crate::link_handler::PoolInbox;
 use crate::meters::Meters;
 use crate::pool::ConnectionId;
 use crate::pool::Contact;
@@ -68,7 +68,7 @@
     group: GroupName,
     pool: Pool,
     inbox: PoolInbox,
-    desk: Arc<Desk>,
+    handler: Arc<LinkHandler>,
     meters: Arc<Meters>,
     queries: BTreeMap<ConnectionId, mpsc::UnboundedSender<Query>>,
     wire: std::marker::PhantomData<W>,
@@ -77,7 +77,7 @@
 /// Starts the pool of a group.
 pub fn start<W: Wire>(
     group: GroupName,
-    desk: Arc<Desk>,
+    handler: Arc<LinkHandler>,
     meters: Arc<Meters>,
     timer: &Timer,
 ) -> PoolHandle {
@@ -87,7 +87,7 @@
         group,
         pool: Pool::new(),
         inbox: inbox.clone(),
-        desk,
+        handler,
         meters,
         queries: BTreeMap::new(),
         wire: std::marker::PhantomData,
@@ -165,7 +165,7 @@
             tracing::debug!(event = "unit_refused", group = %self.group, ticket = %ticket,
                 cause = refusal.cause().name(), retry_ms = refusal.retry_ms);
         }
-        self.desk.reply(ticket.link, ticket.number, outcome);
+        self.handler.reply(ticket.link, ticket.number, outcome);
     }
 
     fn log(&self, note: &Note) {
--- a/crates/proxy/src/runner/dial.rs
+++ b/crates/proxy/src/runner/dial.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio_util::codec::Framed;
 
-use crate::desk::PoolInbox;
+use crate::link_handler::PoolInbox;
 use crate::pool::Command;
 use crate::pool::ConnectionId;
 use crate::pool::Input;
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -201,7 +201,7 @@
     async fn admit(&self) -> Result<Admitted, Denial> {
         let admitted = self.look_up()?;
         if admitted.rate.is_some() {
-            let taken = self.entry.purses.take(&admitted.account).await;
+            let taken = self.entry.tokens.take(&admitted.account).await;
             taken.map_err(|retry_ms| Denial::RateSpent {
                 account: admitted.account.clone(),
                 retry_ms,
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -16,25 +16,25 @@
 use tokio_util::task::TaskTracker;
 
 use crate::board::Board;
-use crate::desk::Desk;
 use crate::entry;
 use crate::entry::Entry;
 use crate::entry::EntryBounds;
-use crate::entry::Purses;
 use crate::entry::Router;
+use crate::entry::TokenCache;
 use crate::fleet::Incarnation;
 use crate::fleet::Member;
 use crate::link;
 use crate::link::Link;
 use crate::link::Links;
 use crate::link::Reply;
+use crate::link_handler::LinkHandler;
 use crate::meters::Meters;
 use crate::platform::Platform;
 use crate::pool::Input;
 use crate::session;
 use crate::settings::VmSettings;
 use crate::socket;
-use crate::tenure::Tenure;
+use crate::vm_lease::VmLease;
 use crate::wire::Wire;
 
 /// Part of the grace after which the process ends, in percent, whatever still runs.
@@ -66,22 +66,22 @@
     let meters = Arc::new(Meters::new(&metrics.meter()));
     let timer = Timer::new();
     let board = Arc::new(Board::default());
-    let tenure = Arc::new(Tenure::default());
-    let desk = Arc::new(Desk::new(Arc::clone(&board)));
-    let own = open_own_link(&desk);
+    let vm_lease = Arc::new(VmLease::default());
+    let handler = Arc::new(LinkHandler::new(Arc::clone(&board)));
+    let own = open_own_link(&handler);
     let links = Arc::new(Links::new(settings.vm.clone(), own));
     let me = member(&settings);
     tracing::info!(event = "vm_started", vm = %settings.vm, domain = %settings.domain,
         incarnation = me.incarnation.0, currency_ms = settings.currency().as_millis());
 
     let link_listener = socket::listen(settings.listen.link)?;
-    tokio::spawn(link::serve(link_listener, Arc::clone(&desk)));
-    let purses = Purses::new(settings.vm.clone(), Arc::clone(&board), Arc::clone(&links));
+    tokio::spawn(link::serve(link_listener, Arc::clone(&handler)));
+    let tokens = TokenCache::new(settings.vm.clone(), Arc::clone(&board), Arc::clone(&links));
     let entry = Arc::new(Entry {
         vm: settings.vm.clone(),
         board: Arc::clone(&board),
         router: Router::new(settings.vm.clone(), Arc::clone(&board), Arc::clone(&links)),
-        purses: Arc::new(purses),
+        tokens: Arc::new(tokens),
         life: life.clone(),
         meters: Arc::clone(&meters),
         bounds: EntryBounds {
@@ -94,9 +94,9 @@
     let steward = steward::start::<W>(steward::Parts {
         me: settings.vm.clone(),
         board: Arc::clone(&board),
-        desk: Arc::clone(&desk),
+        handler: Arc::clone(&handler),
         links: Arc::clone(&links),
-        tenure: Arc::clone(&tenure),
+        vm_lease: Arc::clone(&vm_lease),
         platform: Arc::clone(&platform),
         meters: Arc::clone(&meters),
         timer: timer.clone(),
@@ -118,7 +118,7 @@
     });
     membership::start(
         me,
-        Arc::clone(&tenure),
+        Arc::clone(&vm_lease),
         Arc::clone(&platform),
         life.clone(),
         &timer,
@@ -134,18 +134,23 @@
     life.mark_ready();
 
     life.drained_from_now().await;
-    let leaving = leave(&settings, &desk, &tenure, platform.as_ref());
+    let leaving = leave(&settings, &handler, &vm_lease, platform.as_ref());
     let finishing = finish(&settings, &sessions);
     tokio::join!(leaving, finishing);
     Ok(())
 }
 
 /// Gives the vm's place in the fleet up, so that others take over its groups and accounts.
-async fn leave(settings: &VmSettings, desk: &Desk, tenure: &Tenure, platform: &dyn Platform) {
+async fn leave(
+    settings: &VmSettings,
+    handler: &LinkHandler,
+    vm_lease: &VmLease,
+    platform: &dyn Platform,
+) {
     tracing::info!(event = "vm_stopping", vm = %settings.vm);
-    desk.tell_pools(&Input::Retire);
-    if let Some(lease) = tenure.lease() {
-        tenure.end();
+    handler.tell_pools(&Input::Retire);
+    if let Some(lease) = vm_lease.lease() {
+        vm_lease.end();
         if let Err(e) = platform.end(lease).await {
             tracing::warn!(event = "lease_not_ended", error = %e);
         }
@@ -175,12 +180,12 @@
 }
 
 /// Connects sessions of this vm to its own pools without a socket.
-fn open_own_link(desk: &Arc<Desk>) -> Arc<Link> {
+fn open_own_link(handler: &Arc<LinkHandler>) -> Arc<Link> {
     let (link, mut asks) = Link::new();
     let link = Arc::new(link);
     let (replies, mut answered) = tokio::sync::mpsc::unbounded_channel::<Reply>();
-    let number = desk.open_link(replies);
-    let asking = Arc::clone(desk);
+    let number = handler.open_link(replies);
+    let asking = Arc::clone(handler);
     tokio::spawn(async move {
         while let Some(ask) = asks.recv().await {
             asking.handle(number, ask);
--- a/crates/proxy/src/vm/membership.rs
+++ b/crates/proxy/src/vm/membership.rs
@@ -10,7 +10,7 @@
 use crate::fleet::Member;
 use crate::platform::Platform;
 use crate::platform::PlatformError;
-use crate::tenure::Tenure;
+use crate::vm_lease::VmLease;
 
 /// Term of a vm's lease: a vm that is gone keeps its duties for so long at most.
 const TERM: Duration = Duration::from_secs(3);
@@ -20,7 +20,7 @@
 /// Starts to keep the lease.
 pub(super) fn start(
     me: Member,
-    tenure: Arc<Tenure>,
+    vm_lease: Arc<VmLease>,
     platform: Arc<dyn Platform>,
     life: Lifecycle,
     timer: &Timer,
@@ -31,7 +31,7 @@
             if life.is_draining() {
                 return;
             }
-            if let Err(e) = renew(&me, &tenure, platform.as_ref()).await {
+            if let Err(e) = renew(&me, &vm_lease, platform.as_ref()).await {
                 tracing::info!(event = "lease_not_renewed", vm = %me.vm, error = %e);
             }
         }
@@ -39,23 +39,27 @@
 }
 
 /// Renews the lease, or takes a new one and joins with it.
-async fn renew(me: &Member, tenure: &Tenure, platform: &dyn Platform) -> Result<(), PlatformError> {
+async fn renew(
+    me: &Member,
+    vm_lease: &VmLease,
+    platform: &dyn Platform,
+) -> Result<(), PlatformError> {
     let asked = Moment::now();
-    let Some(lease) = tenure.lease() else {
+    let Some(lease) = vm_lease.lease() else {
         let (lease, term) = platform.lease(TERM).await?;
         platform.join(me, lease).await?;
-        tenure.renew(lease, asked, term);
+        vm_lease.renew(lease, asked, term);
         tracing::info!(event = "vm_joined", vm = %me.vm, lease = lease.0);
         return Ok(());
     };
     match platform.keep(lease).await {
         Ok(()) => {
-            tenure.renew(lease, asked, TERM);
+            vm_lease.renew(lease, asked, TERM);
             Ok(())
         }
         Err(PlatformError::LeaseEnded) => {
             tracing::info!(event = "lease_ended", vm = %me.vm, lease = lease.0);
-            tenure.end();
+            vm_lease.end();
             Err(PlatformError::LeaseEnded)
         }
         Err(e) => Err(e),
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -23,13 +23,13 @@
 use crate::board::Belief;
 use crate::board::Board;
 use crate::clock::Moment;
-use crate::desk::Desk;
 use crate::fleet::authorities;
 use crate::fleet::group_ranking;
 use crate::fleet::share;
 use crate::group::Event;
 use crate::group::Succession;
 use crate::link::Links;
+use crate::link_handler::LinkHandler;
 use crate::meters::Meters;
 use crate::platform::LeaseId;
 use crate::platform::Platform;
@@ -39,7 +39,7 @@
 use crate::runner::Contacts;
 use crate::runner::PoolHandle;
 use crate::runner::Probe;
-use crate::tenure::Tenure;
+use crate::vm_lease::VmLease;
 use crate::wire::Wire;
 
 /// Time between two looks at the primaries.
@@ -51,16 +51,16 @@
 pub(super) struct Parts {
     pub(super) me: VmName,
     pub(super) board: Arc<Board>,
-    pub(super) desk: Arc<Desk>,
+    pub(super) handler: Arc<LinkHandler>,
     pub(super) links: Arc<Links>,
-    pub(super) tenure: Arc<Tenure>,
+    pub(super) vm_lease: Arc<VmLease>,
     pub(super) platform: Arc<dyn Platform>,
     pub(super) meters: Arc<Meters>,
     pub(super) timer: Timer,
 }
 
 /// One group as the steward sees it.
-struct Ward {
+struct WatchedGroup {
     pool: PoolHandle,
     succession: Succession,
     home: bool,
@@ -73,7 +73,7 @@
 pub(crate) struct Steward {
     parts: Arc<Parts>,
     start_pool: fn(GroupName, &Parts) -> PoolHandle,
-    wards: BTreeMap<GroupName, Ward>,
+    groups: BTreeMap<GroupName, WatchedGroup>,
 }
 
 /// Starts the steward of a vm.
@@ -82,10 +82,10 @@
     let steward = Steward::spawn(Steward {
         parts: Arc::new(parts),
         start_pool: |group, parts| {
-            let desk = Arc::clone(&parts.desk);
-            runner::start::<W>(group, desk, Arc::clone(&parts.meters), &parts.timer)
+            let handler = Arc::clone(&parts.handler);
+            runner::start::<W>(group, handler, Arc::clone(&parts.meters), &parts.timer)
         },
-        wards: BTreeMap::new(),
+        groups: BTreeMap::new(),
     });
     let ticked = steward.clone();
     tokio::spawn(async move {
@@ -140,9 +140,9 @@
 
     async fn handle(&mut self, _msg: Look, ctx: &mut Context<Self, ()>) {
         self.hold_accounts();
-        for (group, ward) in self.wards.iter().filter(|(_, ward)| ward.home) {
+        for (group, watched) in self.groups.iter().filter(|(_, watched)| watched.home) {
             let (reply, contacts) = oneshot::channel();
-            if ward.pool.probes.send(Probe::Contacts(reply)).is_err() {
+            if watched.pool.probes.send(Probe::Contacts(reply)).is_err() {
                 tracing::error!(event = "pool_gone", group = %group);
                 continue;
             }
@@ -164,16 +164,16 @@
 
     async fn handle(&mut self, msg: Seen, ctx: &mut Context<Self, ()>) {
         let Seen(group, contacts) = msg;
-        let Some(ward) = self.wards.get_mut(&group).filter(|ward| ward.home) else {
+        let Some(watched) = self.groups.get_mut(&group).filter(|watched| watched.home) else {
             return;
         };
         let now = Moment::now();
-        let lease = self.parts.tenure.lease();
-        if lease != ward.lease || !self.parts.tenure.holds(now) {
-            ward.lease = lease;
-            ward.succession.forfeit();
+        let lease = self.parts.vm_lease.lease();
+        if lease != watched.lease || !self.parts.vm_lease.holds(now) {
+            watched.lease = lease;
+            watched.succession.forfeit();
         }
-        let action = ward
+        let action = watched
             .succession
             .tick(contacts.lead.as_ref(), &contacts.upstreams, now);
         if let Some(action) = action {
@@ -187,10 +187,10 @@
 
     async fn handle(&mut self, msg: Happened, ctx: &mut Context<Self, ()>) {
         let Happened(group, event) = msg;
-        let Some(ward) = self.wards.get_mut(&group) else {
+        let Some(watched) = self.groups.get_mut(&group) else {
             return;
         };
-        let action = ward.succession.handle(event, Moment::now());
+        let action = watched.succession.handle(event, Moment::now());
         tracing::info!(event = "succession_step", group = %group, happened = ?event, next = ?action);
         if let Some(action) = action {
             self.act(&group, action, None, ctx.actor_ref());
@@ -204,9 +204,9 @@
     async fn handle(&mut self, _msg: Dump, _ctx: &mut Context<Self, Shown>) -> Shown {
         let now = Moment::now();
         let mut pools = BTreeMap::new();
-        for (group, ward) in &self.wards {
+        for (group, watched) in &self.groups {
             let (reply, view) = oneshot::channel();
-            if ward.pool.probes.send(Probe::View(reply)).is_ok()
+            if watched.pool.probes.send(Probe::View(reply)).is_ok()
                 && let Ok(view) = view.await
             {
                 pools.insert(group.clone(), view);
@@ -215,7 +215,7 @@
         let belief = self.parts.board.belief();
         Shown(json!({
             "vm": self.parts.me,
-            "lease_holds": self.parts.tenure.holds(now),
+            "lease_holds": self.parts.vm_lease.holds(now),
             "configuration_version": belief.as_ref().map(|b| b.survey.configuration.version),
             "belief_age_ms": belief.as_ref().map(|b| b.age(now).as_millis()),
             "members": belief.as_ref().map(|b| Arc::clone(&b.survey.members)),
@@ -229,17 +229,18 @@
     fn take_over(&mut self, belief: &Belief) {
         let survey = &belief.survey;
         let parts = Arc::clone(&self.parts);
-        let caretaker: Option<AccountName> = survey.configuration.accounts.keys().next().cloned();
+        let status_account: Option<AccountName> =
+            survey.configuration.accounts.keys().next().cloned();
         for (group, limits) in &survey.configuration.groups {
             let ranking = group_ranking(&survey.members, survey.configuration.groups.keys(), group);
             let rank = ranking.iter().position(|m| m.vm == self.parts.me);
             let connections = rank.map_or(0, |rank| share(rank, ranking.len(), limits.connections));
             let home = rank == Some(0);
-            let ward = self.ward(group);
-            if ward.home != home {
+            let watched = self.watched(group);
+            if watched.home != home {
                 tracing::info!(event = "home_changed", group = %group, home, rank, connections);
-                ward.home = home;
-                let ended = std::mem::take(&mut ward.succession);
+                watched.home = home;
+                let ended = std::mem::take(&mut watched.succession);
                 if let Some(token) = ended.held() {
                     promotion::release(&parts, group.clone(), token);
                 }
@@ -250,11 +251,11 @@
                 Input::Share {
                     connections,
                     home,
-                    caretaker: caretaker.clone(),
+                    status_account: status_account.clone(),
                 },
             ];
             for input in inputs {
-                if ward.pool.inbox.send(input).is_err() {
+                if watched.pool.inbox.send(input).is_err() {
                     tracing::error!(event = "pool_gone", group = %group);
                 }
             }
@@ -262,13 +263,13 @@
         self.hold_accounts();
     }
 
-    fn ward(&mut self, group: &GroupName) -> &mut Ward {
+    fn watched(&mut self, group: &GroupName) -> &mut WatchedGroup {
         let parts = &self.parts;
         let start_pool = self.start_pool;
-        self.wards.entry(group.clone()).or_insert_with(|| {
+        self.groups.entry(group.clone()).or_insert_with(|| {
             let pool = start_pool(group.clone(), parts);
-            parts.desk.add_pool(group.clone(), pool.inbox.clone());
-            Ward {
+            parts.handler.add_pool(group.clone(), pool.inbox.clone());
+            WatchedGroup {
                 pool,
                 succession: Succession::new(),
                 home: false,
@@ -283,7 +284,7 @@
         let Some(belief) = self.parts.board.belief() else {
             return;
         };
-        let certain = self.parts.tenure.holds(now) && belief.age(now) < AUTHORITY_AGE;
+        let certain = self.parts.vm_lease.holds(now) && belief.age(now) < AUTHORITY_AGE;
         let survey = &belief.survey;
         let me = &self.parts.me;
         let mut held: BTreeMap<&AccountName, Split> = BTreeMap::new();
@@ -294,7 +295,7 @@
                 held.insert(account, split);
             }
         }
-        self.parts.desk.authority(|rates| {
+        self.parts.handler.authority(|rates| {
             rates.retain(|account| held.contains_key(account));
             for (account, split) in held {
                 rates.hold(account, split, now);
--- a/crates/proxy/src/vm/steward/promotion.rs
+++ b/crates/proxy/src/vm/steward/promotion.rs
@@ -43,8 +43,8 @@
         }
         match action {
             Action::Survey => {
-                if let Some(ward) = self.wards.get(&group)
-                    && ward.pool.probes.send(Probe::Survey).is_err()
+                if let Some(watched) = self.groups.get(&group)
+                    && watched.pool.probes.send(Probe::Survey).is_err()
                 {
                     tracing::error!(event = "pool_gone", group = %group);
                 }
@@ -149,7 +149,7 @@
 }
 
 async fn claim(parts: &Parts, group: &GroupName) -> Event {
-    let Some(lease) = parts.tenure.lease() else {
+    let Some(lease) = parts.vm_lease.lease() else {
         tracing::info!(event = "claim_without_lease", group = %group);
         return Event::NotClaimed;
     };
--- a/crates/proxy/src/tenure.rs
+++ b/crates/proxy/src/vm_lease.rs
@@ -12,7 +12,7 @@
 
 /// Lease of this vm and how long it certainly holds.
 #[derive(Debug, Default)]
-pub struct Tenure {
+pub struct VmLease {
     state: Mutex<State>,
 }
 
@@ -22,7 +22,7 @@
     until: Moment,
 }
 
-impl Tenure {
+impl VmLease {
     /// Notes that a lease was granted or renewed by a call sent at `asked`.
     pub fn renew(&self, lease: LeaseId, asked: Moment, term: Duration) {
         *lock(&self.state) = State {
--- a/crates/proxy/tests/pool/bed.rs
+++ b/crates/proxy/tests/pool/bed.rs
@@ -121,7 +121,7 @@
         bed.feed(Input::Share {
             connections: share,
             home: true,
-            caretaker: Some(AccountName::from("a0")),
+            status_account: Some(AccountName::from("a0")),
         });
         bed.register(&[]);
         bed.run(Duration::from_secs(1));
--- a/crates/proxy/tests/rates.rs
+++ b/crates/proxy/tests/rates.rs
@@ -6,7 +6,7 @@
 use mustardbay_proxy::clock::Moment;
 use mustardbay_proxy::configuration::Account;
 use mustardbay_proxy::rates::Authority;
-use mustardbay_proxy::rates::Purse;
+use mustardbay_proxy::rates::LocalTokens;
 use mustardbay_proxy::rates::Split;
 use mustardbay_proxy::rates::Take;
 use test_case::test_case;
@@ -27,7 +27,7 @@
     account: Account,
     name: AccountName,
     authorities: Vec<Authority>,
-    purses: Vec<Purse>,
+    tokens: Vec<LocalTokens>,
     spent: Vec<Moment>,
     refused: u32,
 }
@@ -43,7 +43,7 @@
             authorities: (0..split.authorities)
                 .map(|_| Authority::default())
                 .collect(),
-            purses: (0..7).map(|_| Purse::new(now)).collect(),
+            tokens: (0..7).map(|_| LocalTokens::new(now)).collect(),
             spent: Vec::new(),
             refused: 0,
         };
@@ -60,14 +60,14 @@
 
     /// Wishes to spend one token on a vm.
     fn take(&mut self, vm: usize) {
-        let mut taken = self.purses[vm].take(self.now);
+        let mut taken = self.tokens[vm].take(self.now);
         let needed = taken == Take::Wait;
-        if let Some(want) = self.purses[vm].ask(needed, self.now) {
+        if let Some(want) = self.tokens[vm].ask(needed, self.now) {
             let amount = self.draw(vm, want);
-            self.purses[vm].granted(amount, self.now);
+            self.tokens[vm].granted(amount, self.now);
         }
         if needed {
-            taken = self.purses[vm].take_again(self.now);
+            taken = self.tokens[vm].take_again(self.now);
         }
         match taken {
             Take::Spent => self.spent.push(self.now),
