Describe every command line with clap's builder, in one shared way

Cause: the house style asks for the builder; pool, steward and the lab's ten commands used the derive macros. The four programs read settings file, check and log filter in four ways: one had no default file, one no variable, one printed its errors instead of logging them, and a filter that could not be read was replaced by `info` without a word.

Change: mustardbay_process::arguments describes a program (Program), reads arguments and settings, and starts the logs (Start::Run or Start::End). `--log FILTER` stands beside MUSTARDBAY_LOG and is checked.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,7 +3,7 @@
 mod auth;
 mod caller;
 mod classes;
-mod cli;
+mod command_line;
 mod confirm;
 mod context;
 mod dump;
@@ -19,7 +19,8 @@
 mod settings;
 mod tls;
 
-pub use cli::run;
+pub use command_line::PROGRAM;
+pub use command_line::run;
 pub use entry::Entry;
 pub use entry::StartError;
 pub use settings::CallerLimits;
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -3,19 +3,30 @@
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 
-use clap::Args;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use mustardbay_process::arguments::one;
 
 use crate::measure::MeasureError;
 use crate::measure::Measurement;
 use crate::measure::Outcome;
 
-/// Arguments of `mustardbay-lab compare`.
-#[derive(Debug, Clone, Args)]
-pub struct CompareArgs {
-    /// Result as JSON.
-    old: PathBuf,
-    /// Result to compare it with.
-    new: PathBuf,
+/// Returns the description of `mustardbay-lab compare`.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("compare")
+        .about("Sets two results of `measure` side by side")
+        .arg(result("old", "Result as JSON"))
+        .arg(result("new", "Result to compare it with"))
+}
+
+fn result(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
 }
 
 /// Prints both results.
@@ -23,9 +34,9 @@
 /// # Errors
 ///
 /// Fails if a file cannot be read or holds no result.
-pub fn run(args: &CompareArgs) -> Result<(), MeasureError> {
-    let old = Measurement::load(&args.old)?;
-    let new = Measurement::load(&args.new)?;
+pub fn run(args: &ArgMatches) -> Result<(), MeasureError> {
+    let old = Measurement::load(&one::<PathBuf>(args, "old"))?;
+    let new = Measurement::load(&one::<PathBuf>(args, "new"))?;
     print!("{}", table(&old, &new));
     Ok(())
 }
--- a/crates/lab/src/hop.rs
+++ b/crates/lab/src/hop.rs
@@ -6,13 +6,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use clap::Args;
+use clap::ArgMatches;
+use clap::Command;
+use mustardbay_process::arguments::file;
+use mustardbay_process::arguments::maybe;
+use mustardbay_process::arguments::one;
+use mustardbay_process::arguments::option;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::task::JoinSet;
 use tokio_postgres::Client;
 use tokio_postgres::NoTls;
 
+use crate::arguments::number;
+use crate::arguments::parsed;
+use crate::arguments::secret;
 use crate::error::LabError;
 use crate::fleet;
 use crate::fleet::Fleet;
@@ -31,41 +39,75 @@
 /// Connections that both ways fit in.
 const UNBOUND_CONNECTIONS: u32 = 400;
 
-/// Arguments of `mustardbay-lab hop`.
-#[derive(Debug, Clone, Args)]
-pub struct HopArgs {
-    /// Entry to go through; without it a fleet is started for the measurement.
-    #[arg(long, value_name = "IP:PORT", requires_all = ["direct", "account", "key", "route"])]
+/// What `mustardbay-lab hop` is asked for.
+#[derive(Debug, Clone)]
+struct HopArgs {
     entry: Option<SocketAddr>,
-    /// Upstream to connect to directly.
-    #[arg(long, value_name = "IP:PORT")]
     direct: Option<SocketAddr>,
-    /// Term that the upstream is at.
-    #[arg(long, default_value_t = 1)]
     term: u64,
-    /// Account to run as.
-    #[arg(long)]
     account: Option<String>,
-    /// Key of the account.
-    #[arg(long, env = "MUSTARDBAY_KEY", hide_env_values = true)]
     key: Option<String>,
-    /// Route to take.
-    #[arg(long)]
     route: Option<String>,
-    /// Statement to run.
-    #[arg(long, default_value = "SELECT 1")]
     statement: String,
     /// Connections at once when throughput is measured.
-    #[arg(long, default_value_t = 16)]
     connections: usize,
-    /// Length of the whole measurement in seconds.
-    #[arg(long, default_value_t = 16)]
-    seconds: u64,
+    /// Length of the whole measurement.
+    length: Duration,
     /// File for the result as JSON.
-    #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
 }
 
+/// Returns the description of `mustardbay-lab hop`.
+#[must_use]
+pub fn command() -> Command {
+    let entry = parsed::<SocketAddr>(
+        "entry",
+        "IP:PORT",
+        "Entry to go through; without it a fleet is started for the measurement",
+    );
+    Command::new("hop")
+        .about("Measures what an entry costs against a direct connection")
+        .arg(entry.requires_all(["direct", "account", "key", "route"]))
+        .arg(parsed::<SocketAddr>(
+            "direct",
+            "IP:PORT",
+            "Upstream to connect to directly",
+        ))
+        .arg(number::<u64>("term", "1", "Term that the upstream is at"))
+        .arg(option("account", "NAME", "Account to run as"))
+        .arg(secret("key", "MUSTARDBAY_KEY", "Key of the account"))
+        .arg(option("route", "NAME", "Route to take"))
+        .arg(option("statement", "SQL", "Statement to run").default_value("SELECT 1"))
+        .arg(number::<usize>(
+            "connections",
+            "16",
+            "Connections at once when throughput is measured",
+        ))
+        .arg(number::<u64>(
+            "seconds",
+            "16",
+            "Length of the whole measurement in seconds",
+        ))
+        .arg(file("json", "File for the result as JSON"))
+}
+
+impl From<&ArgMatches> for HopArgs {
+    fn from(args: &ArgMatches) -> Self {
+        Self {
+            entry: maybe(args, "entry"),
+            direct: maybe(args, "direct"),
+            term: one(args, "term"),
+            account: maybe(args, "account"),
+            key: maybe(args, "key"),
+            route: maybe(args, "route"),
+            statement: one(args, "statement"),
+            connections: one(args, "connections"),
+            length: Duration::from_secs(one(args, "seconds")),
+            json: maybe(args, "json"),
+        }
+    }
+}
+
 /// Latency and throughput of one way.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -111,7 +153,8 @@
 /// # Errors
 ///
 /// Fails if a connection or a statement fails.
-pub async fn run(args: HopArgs) -> Result<(), LabError> {
+pub async fn run(args: &ArgMatches) -> Result<(), LabError> {
+    let args = HopArgs::from(args);
     let hop = match ways(&args) {
         Some(ways) => measure(&args, &ways).await?,
         None => measure_fleet(&args).await?,
@@ -178,7 +221,7 @@
 
 async fn measure(args: &HopArgs, ways: &Ways) -> Result<Hop, LabError> {
     // Each round runs both ways, each once for latency and once for throughput.
-    let slice = Duration::from_secs(args.seconds) / (ROUNDS * 4);
+    let slice = args.length / (ROUNDS * 4);
     let mut samples = [Vec::new(), Vec::new()];
     let mut statements = [0, 0];
     for _ in 0..ROUNDS {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for what surrounds the proxy, and tools that put load on it and measure it.
 
+pub mod arguments;
 pub mod check;
 pub mod compare;
 pub mod demo;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -18,9 +18,20 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use clap::Args;
+use clap::ArgMatches;
+use clap::Command;
+use mustardbay_process::arguments::all;
+use mustardbay_process::arguments::file;
+use mustardbay_process::arguments::maybe;
+use mustardbay_process::arguments::one;
+use mustardbay_process::arguments::option;
 use tokio::time::Instant;
 
+use crate::arguments::number;
+use crate::arguments::parsed;
+use crate::arguments::repeated;
+use crate::arguments::secret;
+use crate::arguments::seed;
 use crate::error::LabError;
 use crate::history::History;
 
@@ -41,65 +52,91 @@
     "CREATE INDEX IF NOT EXISTS ledger_session ON ledger (session)",
 ];
 
-/// Arguments of `mustardbay-lab load`.
-#[derive(Debug, Clone, Args)]
-pub struct LoadArgs {
-    /// Entry to connect to; may be given many times.
-    #[arg(long = "entry", value_name = "IP:PORT", required = true)]
+/// What `mustardbay-lab load` is asked for.
+#[derive(Debug, Clone)]
+struct LoadArgs {
+    offer: Offer,
     entries: Vec<SocketAddr>,
-    /// Account to run as.
-    #[arg(long)]
-    account: String,
-    /// Key of the account.
-    #[arg(long, env = "MUSTARDBAY_KEY", hide_env_values = true)]
-    key: String,
-    /// Route to take; may be given many times.
-    #[arg(long = "route", value_name = "NAME", required = true)]
-    routes: Vec<String>,
-    /// Requests per second.
-    #[arg(long, default_value_t = 100.0)]
-    rate: f64,
-    /// Share of reads, between 0 and 1.
-    #[arg(long, default_value_t = 0.8)]
-    reads: f64,
-    /// Sessions at once.
-    #[arg(long, default_value_t = 50)]
-    sessions: u64,
-    /// Length of the load in seconds.
-    #[arg(long, default_value_t = 10)]
-    seconds: u64,
-    /// Seed of the arrivals.
-    #[arg(long, default_value_t = 1)]
+    length: Duration,
     seed: u64,
-    /// Requests after which a session moves to another entry; 0 for never.
-    #[arg(long, default_value_t = 0)]
     moves_after: u64,
     /// File for the summary as JSON.
-    #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
     /// File for the history as JSON lines.
-    #[arg(long, value_name = "FILE")]
     trace: Option<PathBuf>,
 }
 
+/// Returns the description of `mustardbay-lab load`.
+#[must_use]
+pub fn command() -> Command {
+    let entry = parsed::<SocketAddr>(
+        "entry",
+        "IP:PORT",
+        "Entry to connect to; may be given many times",
+    );
+    let route = option("route", "NAME", "Route to take; may be given many times");
+    Command::new("load")
+        .about("Puts an open-loop load on entries")
+        .arg(repeated(entry).required(true))
+        .arg(option("account", "NAME", "Account to run as").required(true))
+        .arg(secret("key", "MUSTARDBAY_KEY", "Key of the account").required(true))
+        .arg(repeated(route).required(true))
+        .arg(number::<f64>("rate", "100", "Requests per second"))
+        .arg(number::<f64>(
+            "reads",
+            "0.8",
+            "Share of reads, between 0 and 1",
+        ))
+        .arg(number::<u64>("sessions", "50", "Sessions at once"))
+        .arg(number::<u64>(
+            "seconds",
+            "10",
+            "Length of the load in seconds",
+        ))
+        .arg(seed("Seed of the arrivals"))
+        .arg(number::<u64>(
+            "moves-after",
+            "0",
+            "Requests after which a session moves to another entry; 0 for never",
+        ))
+        .arg(file("json", "File for the summary as JSON"))
+        .arg(file("trace", "File for the history as JSON lines"))
+}
+
+impl From<&ArgMatches> for LoadArgs {
+    fn from(args: &ArgMatches) -> Self {
+        let reads: f64 = one(args, "reads");
+        Self {
+            offer: Offer {
+                account: one(args, "account"),
+                key: one(args, "key"),
+                routes: all(args, "route"),
+                rate: one(args, "rate"),
+                reads: reads.clamp(0.0, 1.0),
+                sessions: one(args, "sessions"),
+            },
+            entries: all(args, "entry"),
+            length: Duration::from_secs(one(args, "seconds")),
+            seed: one(args, "seed"),
+            moves_after: one(args, "moves-after"),
+            json: maybe(args, "json"),
+            trace: maybe(args, "trace"),
+        }
+    }
+}
+
 /// Runs a load and prints its summary.
 ///
 /// # Errors
 ///
 /// Fails if the table cannot be made or a file cannot be written.
-pub async fn run(args: LoadArgs) -> Result<(), LabError> {
+pub async fn run(args: &ArgMatches) -> Result<(), LabError> {
+    let args = LoadArgs::from(args);
     make_schema(&args).await?;
     let plan = Plan {
         entries: args.entries,
-        offers: vec![Offer {
-            account: args.account,
-            key: args.key,
-            routes: args.routes,
-            rate: args.rate,
-            reads: args.reads.clamp(0.0, 1.0),
-            sessions: args.sessions,
-        }],
-        length: Duration::from_secs(args.seconds),
+        offers: vec![args.offer],
+        length: args.length,
         seed: args.seed,
         first: first_number(),
         moves_after: args.moves_after,
@@ -124,10 +161,10 @@
 }
 
 async fn make_schema(args: &LoadArgs) -> Result<(), LabError> {
-    for route in &args.routes {
+    for route in &args.offer.routes {
         let who = Credentials {
-            account: args.account.clone(),
-            key: args.key.clone(),
+            account: args.offer.account.clone(),
+            key: args.offer.key.clone(),
             route: route.clone(),
         };
         let connection = Connection::open(args.entries[0], &who, None).await?;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -15,13 +15,22 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use clap::Args;
-use clap::ValueEnum;
+use clap::ArgMatches;
+use clap::Command;
+use mustardbay_process::arguments::all;
+use mustardbay_process::arguments::choice;
+use mustardbay_process::arguments::file;
+use mustardbay_process::arguments::flag;
+use mustardbay_process::arguments::maybe;
+use mustardbay_process::arguments::one;
+use mustardbay_process::arguments::option;
 use mustardbay_process::exit::Exit;
 use thiserror::Error;
 
 use self::deployment::Deployment;
 use self::experiment::Experiment;
+use crate::arguments::repeated;
+use crate::arguments::seed;
 use crate::error::LabError;
 use crate::fleet::FleetError;
 use crate::history::HistoryError;
@@ -79,60 +88,84 @@
     }
 }
 
-/// Which deployments to measure.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
-enum Which {
-    /// Klarspråk Tilpasning.
-    Klarsprak,
-    /// Chattopadhyay Sathi Calls.
-    Sathi,
-    /// Both, one after the other.
-    Both,
-}
+/// Word on the command line for every deployment, one after the other.
+const BOTH: &str = "both";
 
-impl Which {
-    fn deployments(self) -> &'static [Deployment] {
-        match self {
-            Self::Klarsprak => &[Deployment::Klarsprak],
-            Self::Sathi => &[Deployment::Sathi],
-            Self::Both => &[Deployment::Klarsprak, Deployment::Sathi],
-        }
-    }
-}
-
-/// Arguments of `mustardbay-lab measure`.
-#[derive(Debug, Clone, Args)]
-pub struct MeasureArgs {
-    /// Run for half a minute instead of two for each deployment.
-    #[arg(long)]
+/// What `mustardbay-lab measure` is asked for.
+#[derive(Debug, Clone)]
+struct MeasureArgs {
     quick: bool,
-    /// Deployment to measure.
-    #[arg(long, value_enum, default_value = "both")]
-    deployment: Which,
-    /// Seed of the arrivals.
-    #[arg(long, default_value_t = 1)]
+    /// Name of a deployment, or [`BOTH`].
+    deployment: String,
     seed: u64,
-    /// Line to add to the settings of every entry, for a baseline; may be given many times.
-    #[arg(long = "entry-setting", value_name = "YAML")]
+    /// Lines to add to the settings of every program of a kind, for a baseline.
     entry_settings: Vec<String>,
-    /// Line to add to the settings of every pool.
-    #[arg(long = "pool-setting", value_name = "YAML")]
     pool_settings: Vec<String>,
-    /// Line to add to the settings of every steward.
-    #[arg(long = "steward-setting", value_name = "YAML")]
     steward_settings: Vec<String>,
     /// File for the result as JSON.
-    #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
     /// File for a report with plots as HTML.
-    #[arg(long, value_name = "FILE")]
     report: Option<PathBuf>,
     /// File for the history of the last deployment as JSON lines.
-    #[arg(long, value_name = "FILE")]
     trace: Option<PathBuf>,
 }
 
+/// Returns the description of `mustardbay-lab measure`.
+#[must_use]
+pub fn command() -> Command {
+    let [klarsprak, sathi] = Deployment::ALL.map(Deployment::name);
+    let words = [klarsprak, sathi, BOTH];
+    let setting = |name, help| repeated(option(name, "YAML", help));
+    Command::new("measure")
+        .about("Measures both deployments under load and faults")
+        .arg(flag(
+            "quick",
+            "Run for half a minute instead of two for each deployment",
+        ))
+        .arg(choice("deployment", &words, "Deployment to measure").default_value(BOTH))
+        .arg(seed("Seed of the arrivals"))
+        .arg(setting(
+            "entry-setting",
+            "Line to add to the settings of every entry, for a baseline; may be given many times",
+        ))
+        .arg(setting(
+            "pool-setting",
+            "Line to add to the settings of every pool",
+        ))
+        .arg(setting(
+            "steward-setting",
+            "Line to add to the settings of every steward",
+        ))
+        .arg(file("json", "File for the result as JSON"))
+        .arg(file("report", "File for a report with plots as HTML"))
+        .arg(file(
+            "trace",
+            "File for the history of the last deployment as JSON lines",
+        ))
+}
+
+impl From<&ArgMatches> for MeasureArgs {
+    fn from(args: &ArgMatches) -> Self {
+        Self {
+            quick: args.get_flag("quick"),
+            deployment: one(args, "deployment"),
+            seed: one(args, "seed"),
+            entry_settings: all(args, "entry-setting"),
+            pool_settings: all(args, "pool-setting"),
+            steward_settings: all(args, "steward-setting"),
+            json: maybe(args, "json"),
+            report: maybe(args, "report"),
+            trace: maybe(args, "trace"),
+        }
+    }
+}
+
 impl MeasureArgs {
+    fn deployments(&self) -> impl Iterator<Item = Deployment> {
+        let all = Deployment::ALL.into_iter();
+        all.filter(|known| self.deployment == BOTH || self.deployment == known.name())
+    }
+
     fn experiment(&self, deployment: Deployment) -> Experiment {
         let mut layout = deployment.layout();
         layout.entry_settings.push_str(&lines(&self.entry_settings));
@@ -163,14 +196,15 @@
 /// # Errors
 ///
 /// Fails if a fleet cannot be measured or a file cannot be written.
-pub async fn run(args: MeasureArgs) -> Result<Exit, MeasureError> {
+pub async fn run(args: &ArgMatches) -> Result<Exit, MeasureError> {
+    let args = MeasureArgs::from(args);
     let mut measurement = Measurement {
         seed: args.seed,
         settings: args.settings(),
         outcomes: Vec::new(),
     };
-    for deployment in args.deployment.deployments() {
-        let (outcome, history) = args.experiment(*deployment).run().await?;
+    for deployment in args.deployments() {
+        let (outcome, history) = args.experiment(deployment).run().await?;
         measurement.outcomes.push(outcome);
         if let Some(path) = &args.trace {
             history.write(BufWriter::new(File::create(path)?))?;
--- a/crates/lab/src/measure/deployment.rs
+++ b/crates/lab/src/measure/deployment.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use clap::ValueEnum;
-
 use crate::fleet;
 use crate::fleet::Layout;
 use crate::fleet::UpstreamPlan;
@@ -18,7 +16,7 @@
 const WORK: Duration = Duration::from_millis(2);
 
 /// Deployment to measure.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Deployment {
     /// Klarspråk Tilpasning: four domains, portal readers.
     Klarsprak,
@@ -27,6 +25,9 @@
 }
 
 impl Deployment {
+    /// Every deployment, in the order in which they are measured.
+    pub const ALL: [Self; 2] = [Self::Klarsprak, Self::Sathi];
+
     /// Returns the name.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -11,7 +11,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use clap::Args;
+use clap::ArgMatches;
+use clap::Command;
+use mustardbay_process::arguments::one;
+use mustardbay_process::arguments::option;
 
 use self::gateway::Shared;
 use crate::error::LabError;
@@ -21,18 +24,37 @@
 /// Time between two looks for leases that have run out.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(100);
 
+/// Address of this machine with whatever port is free.
+const ANY_PORT: &str = "127.0.0.1:0";
+
 /// Settings of the platform.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
 pub struct Config {
     /// Address to listen on; port 0 picks a free one.
-    #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:0")]
     pub listen: String,
 }
 
 impl Default for Config {
     fn default() -> Self {
         Self {
-            listen: "127.0.0.1:0".to_owned(),
+            listen: ANY_PORT.to_owned(),
+        }
+    }
+}
+
+/// Returns the description of `mustardbay-lab platform`.
+#[must_use]
+pub fn command() -> Command {
+    let help = "Address to listen on; port 0 picks a free one";
+    Command::new("platform")
+        .about("Runs a stand-in for the platform's key-value service")
+        .arg(option("listen", "IP:PORT", help).default_value(ANY_PORT))
+}
+
+impl From<&ArgMatches> for Config {
+    fn from(args: &ArgMatches) -> Self {
+        Self {
+            listen: one(args, "listen"),
         }
     }
 }
--- a/crates/lab/src/rate_study.rs
+++ b/crates/lab/src/rate_study.rs
@@ -13,29 +13,35 @@
 mod tally;
 mod way;
 
-use clap::Args;
+use clap::ArgMatches;
+use clap::Command;
+use mustardbay_process::arguments::one;
 
 use self::arrivals::Arrivals;
 use self::scenario::Scenario;
 use self::table::Row;
 use self::tally::Tally;
 use self::way::Way;
+use crate::arguments;
 
-/// How the study runs.
-#[derive(Debug, Args)]
-pub struct RatesArgs {
-    /// Seed of the arrivals and of the messages' delays.
-    #[arg(long, default_value_t = 1)]
-    pub seed: u64,
+/// Returns the description of `mustardbay-lab rates`.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("rates")
+        .about("Compares ways to hold rates across the fleet, under virtual time")
+        .arg(arguments::seed(
+            "Seed of the arrivals and of the messages' delays",
+        ))
 }
 
 /// Runs every way through every scenario and prints a table.
-pub fn run(args: &RatesArgs) {
-    println!("seed {}", args.seed);
+pub fn run(args: &ArgMatches) {
+    let seed: u64 = one(args, "seed");
+    println!("seed {seed}");
     println!("{}", table::header());
     for scenario in Scenario::ALL {
         for way in Way::ALL {
-            let tally = simulate(way, scenario, args.seed);
+            let tally = simulate(way, scenario, seed);
             let row = Row {
                 scenario,
                 way,
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -14,7 +14,11 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
-use clap::Args;
+use clap::ArgMatches;
+use clap::Command;
+use mustardbay_process::arguments::all;
+use mustardbay_process::arguments::maybe;
+use mustardbay_process::arguments::option;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -23,6 +27,8 @@
 use self::clock::Clock;
 use self::link::Link;
 use self::rule::Rules;
+use crate::arguments::parsed;
+use crate::arguments::repeated;
 use crate::error::LabError;
 
 pub use self::rule::Mode;
@@ -60,16 +66,37 @@
 }
 
 /// Settings of the relay.
-#[derive(Debug, Clone, Default, Args)]
+#[derive(Debug, Clone, Default)]
 pub struct Config {
     /// Address of the switch.
-    #[arg(long, value_name = "IP:PORT")]
     pub admin: Option<String>,
-    /// Address to relay; may be given many times.
-    #[arg(long = "link", value_name = "NAME=LISTEN=TARGET")]
+    /// Addresses to relay.
     pub links: Vec<LinkConfig>,
 }
 
+/// Returns the description of `mustardbay-lab relay`.
+#[must_use]
+pub fn command() -> Command {
+    let link = parsed::<LinkConfig>(
+        "link",
+        "NAME=LISTEN=TARGET",
+        "Address to relay; may be given many times",
+    );
+    Command::new("relay")
+        .about("Relays TCP links that can be cut, frozen and delayed")
+        .arg(option("admin", "IP:PORT", "Address of the switch"))
+        .arg(repeated(link))
+}
+
+impl From<&ArgMatches> for Config {
+    fn from(args: &ArgMatches) -> Self {
+        Self {
+            admin: maybe(args, "admin"),
+            links: all(args, "link"),
+        }
+    }
+}
+
 /// Running relay; stopped when the handle is dropped.
 #[derive(Debug)]
 pub struct Relay {
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -1,80 +1,67 @@
 //! Command line of the lab.
 
-use clap::Args;
-use clap::Parser;
-use clap::Subcommand;
+use clap::ArgMatches;
+use clap::Command;
+use mustardbay_process::arguments::explain;
+use mustardbay_process::arguments::flag;
+use mustardbay_process::arguments::log;
+use mustardbay_process::arguments::log_filter;
 use mustardbay_process::exit::Exit;
 use mustardbay_process::logs;
 
 use crate::compare;
-use crate::compare::CompareArgs;
 use crate::demo;
 use crate::error::LabError;
 use crate::hop;
-use crate::hop::HopArgs;
 use crate::load;
-use crate::load::LoadArgs;
 use crate::measure;
-use crate::measure::MeasureArgs;
 use crate::platform;
 use crate::platform::Platform;
 use crate::rate_study;
-use crate::rate_study::RatesArgs;
 use crate::relay;
 use crate::relay::Relay;
 use crate::slopes;
-use crate::slopes::SlopesArgs;
+use crate::upstream;
 use crate::upstream::Upstream;
-use crate::upstream::UpstreamArgs;
 
-/// Stand-ins, load and measurements for mustardbay.
-#[derive(Debug, Parser)]
-#[command(version, about)]
-struct Cli {
-    #[command(subcommand)]
-    command: Command,
+/// Returns the description of the command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("mustardbay-lab")
+        .about("Stand-ins, load and measurements for mustardbay")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(log())
+        .subcommand(upstream::command())
+        .subcommand(demonstration())
+        .subcommand(hop::command())
+        .subcommand(measure::command())
+        .subcommand(compare::command())
+        .subcommand(load::command())
+        .subcommand(slopes::command())
+        .subcommand(platform::command())
+        .subcommand(rate_study::command())
+        .subcommand(relay::command())
 }
 
-#[derive(Debug, Subcommand)]
-enum Command {
-    /// Runs a stand-in for a database server.
-    Upstream(UpstreamArgs),
-    /// Shows on a small fleet what mustardbay promises.
-    Demo(DemoArgs),
-    /// Measures what an entry costs against a direct connection.
-    Hop(HopArgs),
-    /// Measures both deployments under load and faults.
-    Measure(MeasureArgs),
-    /// Sets two results of `measure` side by side.
-    Compare(CompareArgs),
-    /// Puts an open-loop load on entries.
-    Load(LoadArgs),
-    /// Measures what one more vm, group, account, change or session costs.
-    Slopes(SlopesArgs),
-    /// Runs a stand-in for the platform's key-value service.
-    Platform(platform::Config),
-    /// Compares ways to hold rates across the fleet, under virtual time.
-    Rates(RatesArgs),
-    /// Relays TCP links that can be cut, frozen and delayed.
-    Relay(relay::Config),
-}
-
-/// How the demonstration runs.
-#[derive(Debug, Args)]
-struct DemoArgs {
-    /// Print the fleet's addresses and keep it running until SIGTERM or Ctrl-C.
-    #[arg(long)]
-    stay: bool,
+fn demonstration() -> Command {
+    Command::new("demo")
+        .about("Shows on a small fleet what mustardbay promises")
+        .arg(flag(
+            "stay",
+            "Print the fleet's addresses and keep it running until SIGTERM or Ctrl-C",
+        ))
 }
 
 /// Runs the command line and returns the exit code.
 pub async fn run() -> Exit {
-    let cli = match Cli::try_parse() {
-        Ok(cli) => cli,
-        Err(e) => return usage(&e),
+    let matches = match command().try_get_matches() {
+        Ok(matches) => matches,
+        Err(e) => return explain(&e),
     };
-    let _logs = logs::init("mustardbay-lab");
-    match execute(cli.command).await {
+    let _logs = logs::init("lab", log_filter(&matches));
+    match execute(&matches).await {
         Ok(exit) => exit,
         Err(e) => {
             eprintln!("mustardbay-lab: {e}");
@@ -83,39 +70,40 @@
     }
 }
 
-async fn execute(command: Command) -> Result<Exit, LabError> {
-    match command {
-        Command::Demo(args) => return demonstrate(&args).await,
-        Command::Hop(args) => hop::run(args).await?,
-        Command::Measure(args) => return Ok(measure::run(args).await?),
-        Command::Compare(args) => compare::run(&args)?,
-        Command::Slopes(args) => slopes::run(args).await?,
-        Command::Load(args) => load::run(args).await?,
-        Command::Rates(args) => rate_study::run(&args),
-        Command::Upstream(args) => {
+async fn execute(matches: &ArgMatches) -> Result<Exit, LabError> {
+    match matches.subcommand() {
+        Some(("demo", args)) => return demonstrate(args).await,
+        Some(("hop", args)) => hop::run(args).await?,
+        Some(("measure", args)) => return Ok(measure::run(args).await?),
+        Some(("compare", args)) => compare::run(args)?,
+        Some(("slopes", args)) => slopes::run(args).await?,
+        Some(("load", args)) => load::run(args).await?,
+        Some(("rates", args)) => rate_study::run(args),
+        Some(("upstream", args)) => {
             let upstream = Upstream::start(args.into()).await?;
             println!("{}", upstream.address());
             interrupted().await?;
             drop(upstream);
         }
-        Command::Platform(config) => {
-            let platform = Platform::start(&config).await?;
+        Some(("platform", args)) => {
+            let platform = Platform::start(&args.into()).await?;
             println!("{}", platform.address());
             interrupted().await?;
             drop(platform);
         }
-        Command::Relay(config) => {
-            let relay = Relay::start(config).await?;
+        Some(("relay", args)) => {
+            let relay = Relay::start(args.into()).await?;
             interrupted().await?;
             drop(relay);
         }
+        _ => return Ok(Exit::Usage),
     }
     Ok(Exit::Done)
 }
 
 /// Runs the demonstration; a promise that does not hold is a failure.
-async fn demonstrate(args: &DemoArgs) -> Result<Exit, LabError> {
-    if args.stay {
+async fn demonstrate(args: &ArgMatches) -> Result<Exit, LabError> {
+    if args.get_flag("stay") {
         demo::stay().await?;
         return Ok(Exit::Done);
     }
@@ -128,16 +116,6 @@
     })
 }
 
-/// Prints what clap has to say; help and version are no failure.
-fn usage(error: &clap::Error) -> Exit {
-    eprint!("{error}");
-    if error.use_stderr() {
-        Exit::Usage
-    } else {
-        Exit::Done
-    }
-}
-
 /// Waits for SIGTERM or SIGINT.
 async fn interrupted() -> Result<(), LabError> {
     use tokio::signal::unix::SignalKind;
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -7,7 +7,7 @@
 
 pub use axis::Axis;
 pub use fit::slope;
-pub use run::SlopesArgs;
 pub use run::SlopesError;
+pub use run::command;
 pub use run::run;
 pub use sample::Usage;
--- a/crates/lab/src/slopes/axis.rs
+++ b/crates/lab/src/slopes/axis.rs
@@ -1,6 +1,5 @@
 //! What is varied while the rest stays as it is.
 
-use clap::ValueEnum;
 use mustardbay_policy::bundle::Account;
 
 use crate::fleet::Layout;
@@ -12,7 +11,7 @@
 const BASE_GROUPS: usize = 1;
 
 /// Quantity that is varied.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Axis {
     /// Virtual machines.
     Vms,
@@ -27,6 +26,15 @@
 }
 
 impl Axis {
+    /// Every quantity, in the order in which they are measured.
+    pub const ALL: [Self; 5] = [
+        Self::Vms,
+        Self::Groups,
+        Self::Accounts,
+        Self::Changes,
+        Self::Sessions,
+    ];
+
     /// Returns the sizes that are measured.
     #[must_use]
     pub fn sizes(self) -> &'static [usize] {
@@ -39,14 +47,14 @@
         }
     }
 
-    /// Returns the name.
+    /// Returns the name on the command line and in results.
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
             Self::Vms => "vms",
             Self::Groups => "groups",
             Self::Accounts => "accounts",
-            Self::Changes => "changes/s",
+            Self::Changes => "changes",
             Self::Sessions => "sessions",
         }
     }
--- a/crates/lab/src/slopes/run.rs
+++ b/crates/lab/src/slopes/run.rs
@@ -4,8 +4,14 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use clap::Args;
+use clap::ArgMatches;
+use clap::Command;
 use mustardbay_policy::bundle::Bundle;
+use mustardbay_process::arguments::all;
+use mustardbay_process::arguments::choice;
+use mustardbay_process::arguments::file;
+use mustardbay_process::arguments::maybe;
+use mustardbay_process::arguments::one;
 use serde::Serialize;
 use thiserror::Error;
 use tokio::task::JoinHandle;
@@ -15,6 +21,8 @@
 use super::fit::slope;
 use super::sample::Usage;
 use super::sample::measure;
+use crate::arguments::number;
+use crate::arguments::repeated;
 use crate::fleet::Fleet;
 use crate::fleet::FleetError;
 use crate::fleet::Kind;
@@ -40,18 +48,23 @@
     Json(#[from] serde_json::Error),
 }
 
-/// How the slopes are measured.
-#[derive(Debug, Args)]
-pub struct SlopesArgs {
-    /// Quantity to vary; every one by default.
-    #[arg(long, value_enum)]
-    axis: Vec<Axis>,
-    /// Length of each measurement in seconds.
-    #[arg(long, default_value_t = 8)]
-    seconds: u64,
-    /// File for the result as JSON.
-    #[arg(long, value_name = "FILE")]
-    json: Option<PathBuf>,
+/// Returns the description of `mustardbay-lab slopes`.
+#[must_use]
+pub fn command() -> Command {
+    let axis = choice(
+        "axis",
+        &Axis::ALL.map(Axis::name),
+        "Quantity to vary; every one by default",
+    );
+    Command::new("slopes")
+        .about("Measures what one more vm, group, account, change or session costs")
+        .arg(repeated(axis))
+        .arg(number::<u64>(
+            "seconds",
+            "8",
+            "Length of each measurement in seconds",
+        ))
+        .arg(file("json", "File for the result as JSON"))
 }
 
 /// One size of one axis.
@@ -68,32 +81,28 @@
 /// # Errors
 ///
 /// Fails if a fleet does not start or the result cannot be written.
-pub async fn run(args: SlopesArgs) -> Result<(), SlopesError> {
-    let all = [
-        Axis::Vms,
-        Axis::Groups,
-        Axis::Accounts,
-        Axis::Changes,
-        Axis::Sessions,
-    ];
-    let axes = if args.axis.is_empty() {
-        all.to_vec()
-    } else {
-        args.axis
-    };
+pub async fn run(args: &ArgMatches) -> Result<(), SlopesError> {
+    let length = Duration::from_secs(one(args, "seconds"));
     let mut points = Vec::new();
-    for axis in axes {
+    for axis in chosen(&all(args, "axis")) {
         for size in axis.sizes() {
-            points.extend(measure_size(axis, *size, Duration::from_secs(args.seconds)).await?);
+            points.extend(measure_size(axis, *size, length).await?);
         }
         print_axis(axis, &points);
     }
-    if let Some(path) = args.json {
+    if let Some(path) = maybe::<PathBuf>(args, "json") {
         serde_json::to_writer_pretty(File::create(path)?, &points)?;
     }
     Ok(())
 }
 
+/// Returns the axes with these names; every one if there are none.
+fn chosen(names: &[String]) -> Vec<Axis> {
+    let all = Axis::ALL.into_iter();
+    all.filter(|axis| names.is_empty() || names.iter().any(|name| name == axis.name()))
+        .collect()
+}
+
 async fn measure_size(
     axis: Axis,
     size: usize,
--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -29,11 +29,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use clap::Args;
+use clap::ArgMatches;
+use clap::Command;
+use mustardbay_process::arguments::maybe;
+use mustardbay_process::arguments::one;
+use mustardbay_process::arguments::option;
 use tokio::net::TcpListener;
 
 use self::core::Core;
 use self::database::Database;
+use crate::arguments::number;
+use crate::arguments::parsed;
+use crate::arguments::secret;
 use crate::error::LabError;
 
 /// Settings of an upstream.
@@ -75,50 +82,58 @@
     }
 }
 
-/// Arguments of `mustardbay-lab upstream`.
-#[derive(Debug, Clone, Args)]
-pub struct UpstreamArgs {
-    /// Address to listen on.
-    #[arg(long, value_name = "IP:PORT")]
-    listen: String,
-    /// Name, unique in its group.
-    #[arg(long)]
-    name: String,
-    /// Milliseconds between receiving an entry and executing it on a replica.
-    #[arg(long, default_value_t = 0)]
-    lag_ms: u64,
-    /// Milliseconds that a new connection takes.
-    #[arg(long, default_value_t = 0)]
-    connect_cost_ms: u64,
-    /// Most connections at once.
-    #[arg(long, default_value_t = 100)]
-    connections: usize,
-    /// Milliseconds that each statement takes on top.
-    #[arg(long, default_value_t = 0)]
-    work_ms: u64,
-    /// Address of the admin page.
-    #[arg(long, value_name = "IP:PORT")]
-    admin: Option<String>,
-    /// Address that replication connections come from.
-    #[arg(long, value_name = "IP")]
-    source: Option<IpAddr>,
-    /// Password that every connection must present.
-    #[arg(long, env = "MUSTARDBAY_LOGIN_PASSWORD", hide_env_values = true)]
-    password: Option<String>,
+/// Returns the description of `mustardbay-lab upstream`.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("upstream")
+        .about("Runs a stand-in for a database server")
+        .arg(option("listen", "IP:PORT", "Address to listen on").required(true))
+        .arg(option("name", "NAME", "Name, unique in its group").required(true))
+        .arg(number::<u64>(
+            "lag-ms",
+            "0",
+            "Milliseconds between receiving an entry and executing it on a replica",
+        ))
+        .arg(number::<u64>(
+            "connect-cost-ms",
+            "0",
+            "Milliseconds that a new connection takes",
+        ))
+        .arg(number::<usize>(
+            "connections",
+            "100",
+            "Most connections at once",
+        ))
+        .arg(number::<u64>(
+            "work-ms",
+            "0",
+            "Milliseconds that each statement takes on top",
+        ))
+        .arg(option("admin", "IP:PORT", "Address of the admin page"))
+        .arg(parsed::<IpAddr>(
+            "source",
+            "IP",
+            "Address that replication connections come from",
+        ))
+        .arg(secret(
+            "password",
+            "MUSTARDBAY_LOGIN_PASSWORD",
+            "Password that every connection must present",
+        ))
 }
 
-impl From<UpstreamArgs> for Config {
-    fn from(args: UpstreamArgs) -> Self {
+impl From<&ArgMatches> for Config {
+    fn from(args: &ArgMatches) -> Self {
         Self {
-            listen: args.listen,
-            name: args.name,
-            lag: Duration::from_millis(args.lag_ms),
-            connect_cost: Duration::from_millis(args.connect_cost_ms),
-            connections: args.connections,
-            work: Duration::from_millis(args.work_ms),
-            admin: args.admin,
-            source: args.source,
-            password: args.password,
+            listen: one(args, "listen"),
+            name: one(args, "name"),
+            lag: Duration::from_millis(one(args, "lag-ms")),
+            connect_cost: Duration::from_millis(one(args, "connect-cost-ms")),
+            connections: one(args, "connections"),
+            work: Duration::from_millis(one(args, "work-ms")),
+            admin: maybe(args, "admin"),
+            source: maybe(args, "source"),
+            password: maybe(args, "password"),
         }
     }
 }
--- a/crates/pool/src/command_line.rs
+++ b/crates/pool/src/command_line.rs
@@ -1,32 +1,27 @@
 //! Command line and start of the pool.
 
-use std::path::PathBuf;
-
-use clap::Parser;
 use mustardbay_link::StewardLink;
 use mustardbay_process::admin::Admin;
+use mustardbay_process::arguments::Program;
+use mustardbay_process::arguments::Start;
 use mustardbay_process::exit::Exit;
 use mustardbay_process::incarnation::incarnation;
 use mustardbay_process::lifecycle::Lifecycle;
-use mustardbay_process::logs;
 use mustardbay_process::metrics::Metrics;
-use mustardbay_process::settings;
 use thiserror::Error;
 
 use crate::server::Pool;
 use crate::settings::PoolSettings;
 
-/// Holds upstream connections and runs the statements that entries send.
-#[derive(Debug, Parser)]
-#[command(name = "mustardbay-pool", version)]
-struct Args {
-    /// Settings file in YAML.
-    #[arg(long, env = "MUSTARDBAY_SETTINGS", default_value = "pool.yaml")]
-    settings: PathBuf,
-    /// Checks the settings and exits.
-    #[arg(long)]
-    check: bool,
-}
+/// Command line of the program.
+pub const PROGRAM: Program = Program {
+    name: "pool",
+    binary: "mustardbay-pool",
+    version: env!("CARGO_PKG_VERSION"),
+    about: "Holds upstream connections and runs the statements that entries send",
+    variable: "MUSTARDBAY_SETTINGS",
+    file: "pool.yaml",
+};
 
 /// Why the pool could not start.
 #[derive(Debug, Error)]
@@ -39,19 +34,11 @@
 
 /// Runs the program and returns why it ended.
 pub async fn run() -> Exit {
-    let args = Args::parse();
-    let _logs = logs::init("pool");
-    let settings = match settings::load::<PoolSettings>(&args.settings) {
-        Ok(settings) => settings,
-        Err(e) => {
-            tracing::error!(event = "settings_refused", error = %e);
-            return Exit::Usage;
-        }
+    let running = match PROGRAM.start::<PoolSettings>(std::env::args_os()) {
+        Start::Run(running) => running,
+        Start::End(exit) => return exit,
     };
-    if args.check {
-        return Exit::Done;
-    }
-    match serve(settings).await {
+    match serve(running.settings).await {
         Ok(()) => Exit::Done,
         Err(e) => {
             tracing::error!(event = "start_failed", error = %e);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -11,6 +11,7 @@
 mod upkeep;
 mod upstream;
 
+pub use command_line::PROGRAM;
 pub use command_line::run;
 pub use server::Pool;
 pub use settings::Login;
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -1,6 +1,7 @@
-//! What the three programs share: settings, logs, metrics, timers and the admin endpoint.
+//! What the programs share: command line, settings, logs, metrics, timers and the admin endpoint.
 
 pub mod admin;
+pub mod arguments;
 pub mod dialer;
 pub mod exit;
 pub mod incarnation;
--- a/crates/process/src/logs.rs
+++ b/crates/process/src/logs.rs
@@ -61,27 +61,41 @@
     }
 }
 
-/// Starts logging to standard error; `MUSTARDBAY_LOG` filters by level and module, `info` by default.
+/// Returns a filter by level and module, if it can be read.
+///
+/// # Errors
+///
+/// Fails with what cannot be read.
+pub fn check_filter(filter: &str) -> Result<String, String> {
+    match EnvFilter::try_new(filter) {
+        Ok(_) => Ok(filter.to_owned()),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
+/// Starts logging to standard error what `filter` lets pass, by level and module.
 ///
 /// A second call in the same process has no effect.
 #[must_use]
-pub fn init(program: &'static str) -> Logs {
-    init_to(program, io::stderr())
+pub fn init(program: &'static str, filter: &str) -> Logs {
+    init_to(program, filter, io::stderr())
 }
 
 /// Starts logging to a writer, as [`init`] does.
 #[must_use]
-pub fn init_to(program: &'static str, writer: impl io::Write + Send + 'static) -> Logs {
+pub fn init_to(
+    program: &'static str,
+    filter: &str,
+    writer: impl io::Write + Send + 'static,
+) -> Logs {
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(WAITING_LINES)
         .lossy(true)
         .thread_name("logs")
         .finish(writer);
     let dropped = writer.error_counter();
-    let filter =
-        EnvFilter::try_from_env("MUSTARDBAY_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
     let started = tracing_subscriber::fmt()
-        .with_env_filter(filter)
+        .with_env_filter(EnvFilter::new(filter))
         .with_writer(writer)
         .event_format(KeyValue { program })
         .try_init();
--- a/crates/process/tests/logs.rs
+++ b/crates/process/tests/logs.rs
@@ -33,7 +33,7 @@
 #[test]
 fn flood_does_not_wait_for_its_reader() {
     let (gate, waiting) = mpsc::channel();
-    let logs = logs::init_to("test", Still(waiting));
+    let logs = logs::init_to("test", "info", Still(waiting));
     let began = Instant::now();
     for number in 0..LINES {
         tracing::info!(event = "flood", number);
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -3,7 +3,7 @@
 
 mod board;
 mod bundles;
-mod cli;
+mod command_line;
 mod control;
 mod description;
 mod directory;
@@ -20,7 +20,8 @@
 mod stats;
 
 pub use board::Board;
-pub use cli::run;
+pub use command_line::PROGRAM;
+pub use command_line::run;
 pub use rates::LinkId;
 pub use rates::PlatformCall;
 pub use rates::Rates;
