Add a ledger of losses: each try that was not served, with one cause, from logs

Cause: after a bad hour an operator had the story of one request, and counters without account, domain or second.

Change: `mustardbay losses LOG...` reads the logs of vms and assigns every failed or late try to one cause; counts by cause, class, domain, account and second, each with the id of one request; says what it could not assign, which lines it could not read, how many lines vms dropped, and how many processes ended unplanned (their callers' losses are in no log). Logs are read in one place for it and for `story` (logged.rs), quoted values too.

Tests: losses (one table of causes from recorded lines; damaged and cut-off lines, dropped lines, a planned restart).

Tries, not operations: a caller comes back under a new id.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -16,6 +16,7 @@
 use crate::bundle_file;
 use crate::change;
 use crate::error::CliError;
+use crate::losses::Ledger;
 use crate::reports::Report;
 use crate::signer_file;
 use crate::status;
@@ -31,6 +32,7 @@
         Some(("dump", args)) => dump(args).await,
         Some(("drain", args)) => drain(args).await,
         Some(("story", args)) => tell_story(args),
+        Some(("losses", args)) => list_losses(args),
         _ => Ok(Exit::Usage),
     }
 }
@@ -48,20 +50,7 @@
 
 fn tell_story(args: &ArgMatches) -> Result<Exit, CliError> {
     let request = args.get_one::<String>("request").map_or("", String::as_str);
-    let files = args.get_many::<PathBuf>("logs").unwrap_or_default();
-    let mut logs = Vec::new();
-    for path in files {
-        let bytes = std::fs::read(path).map_err(|source| CliError::File {
-            path: path.clone(),
-            source,
-        })?;
-        let name = path.file_stem().unwrap_or_default().to_string_lossy();
-        logs.push((
-            name.into_owned(),
-            String::from_utf8_lossy(&bytes).into_owned(),
-        ));
-    }
-    let lines = story(request, &logs);
+    let lines = story(request, &read_logs(args)?);
     if lines.is_empty() {
         return Ok(Exit::Failed);
     }
@@ -70,6 +59,32 @@
     Ok(Exit::Done)
 }
 
+fn list_losses(args: &ArgMatches) -> Result<Exit, CliError> {
+    let ledger = Ledger::read(&read_logs(args)?);
+    let report = if args.get_flag("json") {
+        Report::json(&ledger)?
+    } else {
+        Report::text(ledger.to_string().trim_end())
+    };
+    report.print();
+    Ok(Exit::Done)
+}
+
+/// Returns the names and contents of the log files.
+fn read_logs(args: &ArgMatches) -> Result<Vec<(String, String)>, CliError> {
+    let files = args.get_many::<PathBuf>("logs").unwrap_or_default();
+    let read = |path: &PathBuf| {
+        let bytes = std::fs::read(path).map_err(|source| CliError::File {
+            path: path.clone(),
+            source,
+        })?;
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        Ok((name.into_owned(), text))
+    };
+    files.map(read).collect()
+}
+
 fn new_key() -> Exit {
     let rng = &mut rand::rng();
     let key = Key::generate(rng);
--- a/crates/cli/src/command_line.rs
+++ b/crates/cli/src/command_line.rs
@@ -4,7 +4,7 @@
 use clap::ArgAction;
 use clap::Command;
 use clap::value_parser;
-use mustardbay_process::exit::Exit;
+use mustardbay_process::arguments::flag;
 
 const ABOUT: &str = "\
 Operates a mustardbay fleet: keys, configuration bundles, dumps and drains.
@@ -38,19 +38,10 @@
         .subcommand(bundle())
         .subcommand(dump())
         .subcommand(story())
+        .subcommand(losses())
         .subcommand(drain())
 }
 
-/// Prints why the arguments were not taken, or the help that was asked for.
-pub(crate) fn explain(error: &clap::Error) -> Exit {
-    let printed = error.print();
-    if error.use_stderr() || printed.is_err() {
-        Exit::Usage
-    } else {
-        Exit::Done
-    }
-}
-
 fn story() -> Command {
     Command::new("story")
         .about("Tells what vms did about a request, from their logs")
@@ -65,11 +56,28 @@
                 .required(true)
                 .help("Id of the request, as logs and callers have it"),
         )
-        .arg(
-            path("logs", "Log files, one of each vm")
-                .required(true)
-                .num_args(1..),
+        .arg(logs())
+}
+
+fn losses() -> Command {
+    Command::new("losses")
+        .about("Counts what was not served in its objective, by cause, from logs of vms")
+        .long_about(
+            "Counts what was not served in its objective, by cause, from logs of vms.\n\nEvery try \
+             that failed or was late is assigned to one cause, and counted by cause, class of work, \
+             failure domain, account and second, each with the id of one request for `story`. A \
+             caller that tries again does so under another id, so tries are counted, not callers' \
+             operations. What was lost with a process that ended unplanned is in no log; such \
+             processes are counted.",
         )
+        .arg(logs())
+        .arg(json())
+}
+
+fn logs() -> Arg {
+    path("logs", "Log files, one of each vm")
+        .required(true)
+        .num_args(1..)
 }
 
 fn key() -> Command {
@@ -188,10 +196,7 @@
 }
 
 fn json() -> Arg {
-    Arg::new("json")
-        .long("json")
-        .action(ArgAction::SetTrue)
-        .help("Prints JSON")
+    flag("json", "Prints JSON")
 }
 
 fn expect() -> Arg {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,6 +6,8 @@
 mod command;
 mod command_line;
 mod error;
+mod logged;
+mod losses;
 mod reports;
 mod signer_file;
 mod status;
@@ -14,11 +16,15 @@
 
 use std::ffi::OsString;
 
+use mustardbay_process::arguments::explain;
 use mustardbay_process::exit::Exit;
 
 pub use self::change::Change;
 pub use self::change::changes;
 pub use self::error::CliError;
+pub use self::losses::Ledger;
+pub use self::losses::Loss;
+pub use self::losses::LossCause;
 pub use self::reports::Report;
 pub use self::status::Status;
 pub use self::status::VmStatus;
@@ -34,7 +40,7 @@
 pub async fn run(args: impl IntoIterator<Item = impl Into<OsString> + Clone>) -> Exit {
     let matches = match command_line::command().try_get_matches_from(args) {
         Ok(matches) => matches,
-        Err(e) => return command_line::explain(&e),
+        Err(e) => return explain(&e),
     };
     match command::execute(&matches).await {
         Ok(exit) => exit,
--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -1,9 +1,12 @@
 //! Story of one request, from the logs of several vms.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt;
 
+use crate::logged::Logged;
+
 /// Events that change what a vm believes; a request is decided on the last one of each before it.
 const BELIEFS: [&str; 8] = [
     "configuration_in_force",
@@ -36,40 +39,12 @@
     }
 }
 
-/// Event of a log.
-#[derive(Debug)]
-struct Logged<'a> {
-    vm: &'a str,
-    time: &'a str,
-    text: &'a str,
-}
-
-impl<'a> Logged<'a> {
-    /// Reads a line; what stands before its time names the vm, else `file` does.
-    fn read(line: &'a str, file: &'a str) -> Option<Self> {
-        let at = line.find("time=")?;
-        let (time, rest) = line[at + "time=".len()..].split_once(' ')?;
-        let text = &rest[rest.find("event=")?..];
-        let vm = line[..at].split_whitespace().last().unwrap_or(file);
-        Some(Self { vm, time, text })
-    }
-
-    /// Returns the value of a field that has no blanks.
-    fn field(&self, name: &str) -> Option<&'a str> {
-        let words = self.text.split(' ');
-        let mut pairs = words.filter_map(|word| word.split_once('='));
-        pairs
-            .find(|(key, _)| *key == name)
-            .map(|(_, value)| value.trim_matches('"'))
-    }
-
-    fn line(&self, belief: bool) -> StoryLine {
-        StoryLine {
-            time: self.time.to_owned(),
-            vm: self.vm.to_owned(),
-            text: self.text.to_owned(),
-            belief,
-        }
+fn line(event: &Logged<'_>, belief: bool) -> StoryLine {
+    StoryLine {
+        time: event.time.to_owned(),
+        vm: event.vm.to_owned(),
+        text: event.text.to_owned(),
+        belief,
     }
 }
 
@@ -85,10 +60,10 @@
     events.sort_by_key(|event| event.time);
     let steps: Vec<&Logged<'_>> = events
         .iter()
-        .filter(|event| event.field("request") == Some(request))
+        .filter(|event| event.field("request").as_deref() == Some(request))
         .collect();
-    let groups: BTreeSet<&str> = steps.iter().filter_map(|s| s.field("group")).collect();
-    let mut story: BTreeSet<StoryLine> = steps.iter().map(|step| step.line(false)).collect();
+    let groups: BTreeSet<_> = steps.iter().filter_map(|s| s.field("group")).collect();
+    let mut story: BTreeSet<StoryLine> = steps.iter().map(|step| line(step, false)).collect();
     for step in &steps {
         story.extend(beliefs_at(step, &events, &groups));
     }
@@ -96,20 +71,25 @@
 }
 
 /// Returns the last belief of each kind that a step's vm had before it.
-fn beliefs_at(step: &Logged<'_>, events: &[Logged<'_>], groups: &BTreeSet<&str>) -> Vec<StoryLine> {
-    let mut last: BTreeMap<(&str, Option<&str>), &Logged<'_>> = BTreeMap::new();
+fn beliefs_at(
+    step: &Logged<'_>,
+    events: &[Logged<'_>],
+    groups: &BTreeSet<Cow<'_, str>>,
+) -> Vec<StoryLine> {
+    let mut last: BTreeMap<(&str, Option<Cow<'_, str>>), &Logged<'_>> = BTreeMap::new();
     let before = events
         .iter()
         .take_while(|event| event.time <= step.time)
         .filter(|event| event.vm == step.vm);
     for event in before {
-        let Some(kind) = event.field("event").filter(|kind| BELIEFS.contains(kind)) else {
+        let kind = event.event();
+        if !BELIEFS.contains(&kind) {
             continue;
-        };
+        }
         let group = event.field("group");
-        if group.is_none_or(|group| groups.contains(group)) {
+        if group.is_none_or(|group| groups.contains(&group)) {
             last.insert((kind, event.field("upstream")), event);
         }
     }
-    last.into_values().map(|event| event.line(true)).collect()
+    last.into_values().map(|event| line(event, true)).collect()
 }
