--- a/crates/proxy/src/board.rs
+++ b/crates/proxy/src/board.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use tokio::sync::Notify;
 
 use crate::clock::Moment;
 use crate::fleet::Assignment;
@@ -39,6 +40,8 @@
     roster: Mutex<Roster>,
     /// Division of the work that follows from the roster and the belief's groups.
     assignment: ArcSwapOption<Assignment>,
+    /// Told of every belief that comes into force.
+    adopted: Notify,
 }
 
 /// What a belief did to the one before it.
@@ -59,6 +62,21 @@
         self.belief.load_full()
     }
 
+    /// Waits for a belief younger than `age`; nothing if there is none within `patience`.
+    pub async fn wait_for_belief(&self, age: Duration, patience: Duration) -> Option<Arc<Belief>> {
+        let young = async {
+            loop {
+                let adopted = self.adopted.notified();
+                let belief = self.belief();
+                if let Some(belief) = belief.filter(|belief| belief.age(Moment::now()) < age) {
+                    return belief;
+                }
+                adopted.await;
+            }
+        };
+        tokio::time::timeout(patience, young).await.ok()
+    }
+
     /// Returns who is responsible for what, as the belief in force has it.
     #[must_use]
     pub fn assignment(&self) -> Option<Arc<Assignment>> {
@@ -102,5 +120,6 @@
             self.assignment.store(Some(Arc::new(assignment)));
         }
         self.belief.store(Some(Arc::new(belief)));
+        self.adopted.notify_waiters();
     }
 }
--- a/crates/proxy/src/entry/token_cache.rs
+++ b/crates/proxy/src/entry/token_cache.rs
@@ -32,9 +32,9 @@
 const AVOID: Duration = Duration::from_millis(500);
 /// Longest wait of an operation for its authorities' answers.
 const DRAW_WAIT: Duration = Duration::from_millis(150);
-/// Longest wait of an operation for a token that is still to accrue: a third of the shortest latency
-/// objective (150 ms) on the users' sites.
-const TOKEN_WAIT: Duration = Duration::from_millis(50);
+/// Part of an operation's latency objective, as a divisor, for which it waits for a token that is still to
+/// accrue: the rest is for its way, its turn and its work.
+const TOKEN_WAIT_PART: u32 = 3;
 /// Pause that a session is asked to make when the authority named none.
 const DEFAULT_RETRY_MS: u32 = 200;
 
@@ -79,18 +79,25 @@
         }
     }
 
-    /// Spends a token of an account, waiting a moment for one that is on its way or about to accrue.
+    /// Spends a token of an account for an operation with a latency objective, waiting a moment for one that
+    /// is on its way or about to accrue.
     ///
     /// # Errors
     ///
     /// Fails if there is none, with the time in milliseconds after which one may be had.
-    pub async fn take(self: &Arc<Self>, account: &AccountName) -> Result<(), u32> {
+    pub async fn take(
+        self: &Arc<Self>,
+        account: &AccountName,
+        objective: Duration,
+    ) -> Result<(), u32> {
+        let patience = objective / TOKEN_WAIT_PART;
         let until = Instant::now() + DRAW_WAIT;
         let mut first = true;
         loop {
-            let (taken, answered) = self.try_take(account, first);
+            let (taken, answered) = self.try_take(account, patience, first);
             let answer = answered.notified();
-            self.draw(account, taken == Take::Wait);
+            let needed = (taken == Take::Wait).then_some(patience);
+            self.draw(account, needed);
             if let Take::Spent(after) = taken {
                 tokio::time::sleep(after).await;
                 return Ok(());
@@ -112,7 +119,12 @@
         lock(&self.slots).get(account)?.refusal
     }
 
-    fn try_take(&self, account: &AccountName, first: bool) -> (Take, Arc<Notify>) {
+    fn try_take(
+        &self,
+        account: &AccountName,
+        patience: Duration,
+        first: bool,
+    ) -> (Take, Arc<Notify>) {
         let now = Moment::now();
         let mut slots = lock(&self.slots);
         let slot = slots.entry(account.clone()).or_insert_with(|| Slot {
@@ -122,33 +134,34 @@
             exhausted: Exhausted::default(),
         });
         let taken = if first {
-            slot.local.take(now)
+            slot.local.take(patience, now)
         } else {
-            slot.local.take_again(now)
+            slot.local.take_again(patience, now)
         };
         (taken, Arc::clone(&slot.answered))
     }
 
-    /// Asks the authority for tokens, if it is time to.
-    fn draw(self: &Arc<Self>, account: &AccountName, needed: bool) {
+    /// Asks the authority for tokens, if it is time to; `needed` is the patience of an operation that waits.
+    fn draw(self: &Arc<Self>, account: &AccountName, needed: Option<Duration>) {
         let now = Moment::now();
         let wish = lock(&self.slots)
             .get_mut(account)
-            .and_then(|slot| slot.local.ask(needed, now));
+            .and_then(|slot| slot.local.ask(needed.is_some(), now));
         let Some(wish) = wish else {
             return;
         };
         let tokens = Arc::clone(self);
         let account = account.clone();
         tokio::spawn(async move {
-            let drawn = tokens.ask(&account, wish).await;
+            let patience = needed.unwrap_or(Duration::ZERO);
+            let drawn = tokens.ask(&account, wish, patience).await;
             tokens.take_in(&account, wish, drawn, now);
         });
     }
 
     /// Asks the authorities in turn until one grants something; then, for a waiting operation, the one
     /// that will have a token first.
-    async fn ask(&self, account: &AccountName, wish: Wish) -> Option<Drawn> {
+    async fn ask(&self, account: &AccountName, wish: Wish, patience: Duration) -> Option<Drawn> {
         let belief = self.board.belief()?;
         let survey = &belief.survey;
         let rate = survey.configuration.accounts.get(account)?;
@@ -166,13 +179,10 @@
             soonest = Some(sooner(soonest, empty));
         }
         let empty = soonest?;
-        if !wish.waiting || u128::from(empty.drawn.retry_ms) > TOKEN_WAIT.as_millis() {
+        if !wish.waiting || u128::from(empty.drawn.retry_ms) > patience.as_millis() {
             return Some(empty.drawn);
         }
-        let patient = Wish {
-            patience: TOKEN_WAIT,
-            ..wish
-        };
+        let patient = Wish { patience, ..wish };
         let promised = self.ask_one(account, &empty.authority, patient).await;
         promised.or(Some(empty.drawn))
     }
--- a/crates/proxy/src/fleet/assignment.rs
+++ b/crates/proxy/src/fleet/assignment.rs
@@ -28,7 +28,7 @@
 const LEAST_AUTHORITIES: usize = 3;
 /// Most authorities of one account: one in each failure domain of a small fleet, so that both sides of
 /// a cut keep the part of their own; more would split small rates too finely.
-const MOST_AUTHORITIES: usize = 4;
+const MOST_AUTHORITIES: usize = 6;
 
 /// Responsibilities of the members of a fleet.
 ///
--- a/crates/proxy/src/link/client.rs
+++ b/crates/proxy/src/link/client.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -18,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::link::frame::Ask;
@@ -30,14 +32,18 @@
 
 /// Longest wait for a link to open: a few round trips between failure domains.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Silence of a link, with something asked, after which it is pinged: beyond a short pause of the vm.
-const DOUBT: Duration = Duration::from_millis(120);
+/// Silence of a link, with something asked, after which it is pinged: most statements are answered by then.
+const DOUBT: Duration = Duration::from_millis(60);
+/// Silence after a ping from which the vm counts as silent: a round trip between regions.
+const SUSPECT: Duration = Duration::from_millis(60);
 /// Silence after a ping for which a link is given up: beyond a vm's longest wait for its processor.
 const SILENCE: Duration = Duration::from_millis(400);
 /// Silence of a link with nothing asked after which it is pinged.
 const QUIET: Duration = Duration::from_secs(2);
 /// Time after a failure during which no new link to the same vm is waited for.
 const DOWN: Duration = Duration::from_millis(500);
+/// The same after the vm refused: it costs no wait, and a process that starts listens in a moment.
+const REFUSED: Duration = Duration::from_millis(30);
 
 /// Why a request got no reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -59,6 +65,7 @@
     pending: Pending,
     next: AtomicU64,
     alive: Arc<AtomicBool>,
+    silent: watch::Sender<bool>,
 }
 
 impl Link {
@@ -73,6 +80,7 @@
             pending: Pending::default(),
             next: AtomicU64::new(1),
             alive: Arc::new(AtomicBool::new(true)),
+            silent: watch::Sender::new(false),
         };
         (link, taken)
     }
@@ -89,6 +97,21 @@
         self.alive.load(Ordering::Acquire)
     }
 
+    /// Tells whether the vm has not answered a ping for a while; it may be slow, cut off or gone.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        *self.silent.borrow()
+    }
+
+    /// Waits until the vm counts as silent.
+    pub async fn until_silent(&self) {
+        let mut silent = self.silent.subscribe();
+        if silent.wait_for(|silent| *silent).await.is_err() {
+            // The sender lives as long as the link itself.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Sends a request under a number and waits for its reply.
     ///
     /// # Errors
@@ -159,6 +182,7 @@
 #[derive(Debug, Clone)]
 enum Entry {
     Open(SocketAddr, Arc<Link>),
+    /// Not to be tried before a moment.
     Down(SocketAddr, Instant),
 }
 
@@ -179,6 +203,22 @@
         Arc::clone(&self.own)
     }
 
+    /// Tells whether a vm with an open link does not answer.
+    #[must_use]
+    pub fn is_silent(&self, vm: &VmName) -> bool {
+        let others = lock(&self.others);
+        matches!(others.get(vm), Some(Entry::Open(_, link)) if link.is_silent())
+    }
+
+    /// Tells whether a link to a vm is open and the vm answers, as far as is known.
+    #[must_use]
+    pub fn is_open(&self, vm: &VmName) -> bool {
+        match lock(&self.others).get(vm) {
+            Some(Entry::Open(_, link)) => link.is_alive() && !link.is_silent(),
+            Some(Entry::Down(..)) | None => *vm == self.me,
+        }
+    }
+
     /// Returns the link to a vm, opening it if there is none; nothing while the vm is down.
     pub async fn to(&self, vm: &VmName, address: SocketAddr) -> Option<Arc<Link>> {
         if *vm == self.me {
@@ -187,13 +227,13 @@
         let known = lock(&self.others).get(vm).cloned();
         match known {
             Some(Entry::Open(at, link)) if at == address && link.is_alive() => return Some(link),
-            Some(Entry::Down(at, since)) if at == address && since.elapsed() < DOWN => {
+            Some(Entry::Down(at, until)) if at == address && Instant::now() < until => {
                 return None;
             }
             _ => {}
         }
         // Others that ask meanwhile do not wait for the same attempt.
-        self.note(vm, Entry::Down(address, Instant::now()));
+        self.note(vm, Entry::Down(address, Instant::now() + CONNECT_TIMEOUT));
         match connect(address).await {
             Ok(link) => {
                 tracing::info!(event = "link_open", vm = %vm);
@@ -202,7 +242,11 @@
             }
             Err(e) => {
                 tracing::info!(event = "link_failed", vm = %vm, error = %e);
-                self.note(vm, Entry::Down(address, Instant::now()));
+                let pause = match e.kind() {
+                    ErrorKind::ConnectionRefused => REFUSED,
+                    _ => DOWN,
+                };
+                self.note(vm, Entry::Down(address, Instant::now() + pause));
                 None
             }
         }
@@ -235,7 +279,8 @@
     let mut pinged: Option<Instant> = None;
     let reason = loop {
         let check = match pinged {
-            Some(at) => at + SILENCE,
+            Some(at) if link.is_silent() => at + SILENCE,
+            Some(at) => at + SUSPECT,
             None if link.is_waiting() => heard.max(asked) + DOUBT,
             None => heard + QUIET,
         };
@@ -255,12 +300,17 @@
                 Some(Ok(reply)) => {
                     heard = Instant::now();
                     pinged = None;
+                    link.silent.send_if_modified(|silent| std::mem::replace(silent, false));
                     link.resolve(reply);
                 }
                 Some(Err(_)) | None => break "closed",
             },
             () = tokio::time::sleep_until(check) => {
-                if pinged.is_some() { break "silent" }
+                if link.is_silent() { break "silent" }
+                if pinged.is_some() {
+                    link.silent.send_replace(true);
+                    continue;
+                }
                 pinged = Some(Instant::now());
                 let ping = Ask { number: 0, body: Some(AskBody::Ping(Ping { number: 0 })) };
                 if sink.send(ping).await.is_err() { break "write failed" }
--- a/crates/proxy/src/link/frame.rs
+++ b/crates/proxy/src/link/frame.rs
@@ -1,7 +1,10 @@
 //! Frames of the link between two vms.
 
+use mustardbay_policy::names::AccountName;
+
 use crate::pool::Outcome;
 use crate::pool::Refusal;
+use crate::rates::Remainder;
 use crate::work::Answer;
 use crate::work::Setting;
 use crate::work::Statement;
@@ -55,6 +58,17 @@
     pub patience_ms: u32,
 }
 
+/// Request of a successor to stop granting accounts' rates and to hand over what is left.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct HandOver {
+    /// The accounts.
+    #[prost(string, repeated, tag = "1")]
+    pub accounts: Vec<String>,
+    /// Time since the list of members was read that makes the asking vm the successor, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub view_age_ms: u32,
+}
+
 /// Question whether a vm reaches an address.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Reach {
@@ -75,6 +89,9 @@
     /// Whether the configuration is wanted as well, which may take long to send.
     #[prost(bool, tag = "3")]
     pub whole: bool,
+    /// Time for which a vm that has no survey yet waits for its first one before it answers.
+    #[prost(uint32, tag = "4")]
+    pub patience_ms: u32,
 }
 
 /// Check that the link works.
@@ -92,7 +109,7 @@
     #[prost(uint64, tag = "1")]
     pub number: u64,
     /// What is asked.
-    #[prost(oneof = "AskBody", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "AskBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<AskBody>,
 }
 
@@ -120,6 +137,9 @@
     /// Answer at once.
     #[prost(message, tag = "8")]
     Ping(Ping),
+    /// Stop granting, and hand over what is left.
+    #[prost(message, tag = "9")]
+    HandOver(HandOver),
 }
 
 /// Answer to a draw.
@@ -139,6 +159,43 @@
     pub after_ms: u32,
 }
 
+/// What is left of one account that the asked vm grants no more.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Handed {
+    /// The account.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// Amount that was not granted, in millionths of a token.
+    #[prost(uint64, tag = "2")]
+    pub amount: u64,
+    /// Tokens that were promised and had not accrued.
+    #[prost(uint32, tag = "3")]
+    pub promised: u32,
+}
+
+/// Accounts that the asked vm grants no more.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct HandedOver {
+    /// The accounts; those that are missing it goes on granting.
+    #[prost(message, repeated, tag = "1")]
+    pub accounts: Vec<Handed>,
+}
+
+impl From<HandedOver> for Vec<(AccountName, Remainder)> {
+    fn from(handed: HandedOver) -> Self {
+        let accounts = handed.accounts.into_iter();
+        accounts
+            .map(|handed| {
+                let remainder = Remainder {
+                    amount: handed.amount,
+                    promised: handed.promised,
+                };
+                (AccountName::from(handed.account), remainder)
+            })
+            .collect()
+    }
+}
+
 /// Answer to a question about an address.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct Reached {
@@ -172,7 +229,7 @@
     #[prost(uint64, tag = "1")]
     pub number: u64,
     /// The reply.
-    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub body: Option<ReplyBody>,
 }
 
@@ -197,6 +254,9 @@
     /// The link works.
     #[prost(message, tag = "7")]
     Pong(Ping),
+    /// Accounts that are granted no more.
+    #[prost(message, tag = "8")]
+    HandedOver(HandedOver),
 }
 
 impl From<Outcome> for ReplyBody {
--- a/crates/proxy/src/link_handler.rs
+++ b/crates/proxy/src/link_handler.rs
@@ -23,6 +23,9 @@
 use crate::link::frame::AskSurvey;
 use crate::link::frame::Draw;
 use crate::link::frame::Drawn;
+use crate::link::frame::HandOver;
+use crate::link::frame::Handed;
+use crate::link::frame::HandedOver;
 use crate::link::frame::Reached;
 use crate::link::frame::Surveyed;
 use crate::pool::Cause;
@@ -149,6 +152,10 @@
             AskBody::Survey(ask) => {
                 self.show_survey(link, number, ask);
             }
+            AskBody::HandOver(ask) => {
+                let handed = self.hand_over(&ask);
+                self.reply(link, number, ReplyBody::HandedOver(handed));
+            }
             AskBody::Ping(ping) => self.reply(link, number, ReplyBody::Pong(ping)),
         }
     }
@@ -183,6 +190,39 @@
         }
     }
 
+    /// Stops granting accounts for a successor, unless this vm knows better.
+    fn hand_over(&self, ask: &HandOver) -> HandedOver {
+        let now = Moment::now();
+        let view = now.before(Duration::from_millis(ask.view_age_ms.into()));
+        let own = self.board.belief().map(|belief| belief.asked);
+        let mut authority = lock(&self.authority);
+        let mut accounts = Vec::new();
+        for account in &ask.accounts {
+            let name = AccountName::from(account.as_str());
+            let Some(left) = authority.hand_over(&name, view, own, now) else {
+                tracing::info!(
+                    event = "authority_kept",
+                    account,
+                    view_age_ms = ask.view_age_ms
+                );
+                continue;
+            };
+            accounts.push(Handed {
+                account: account.clone(),
+                amount: left.amount,
+                promised: left.promised,
+            });
+        }
+        drop(authority);
+        tracing::info!(
+            event = "authority_handed_over",
+            accounts = accounts.len(),
+            asked = ask.accounts.len(),
+            view_age_ms = ask.view_age_ms
+        );
+        HandedOver { accounts }
+    }
+
     /// Tries to reach an address for another vm, without holding up the link.
     fn reach(self: &Arc<Self>, link: u64, number: u64, address: &str) {
         let Ok(address) = address.parse::<SocketAddr>() else {
@@ -197,9 +237,12 @@
         });
     }
 
-    /// Returns the newest survey, without its content for a vm that has the same.
     /// Answers with the belief; a whole one is encoded beside the other work.
     fn show_survey(self: &Arc<Self>, link: u64, number: u64, ask: AskSurvey) {
+        if ask.patience_ms > 0 && self.board.belief().is_none() {
+            self.show_first_survey(link, number, ask);
+            return;
+        }
         if !ask.whole {
             let surveyed = self.surveyed(ask);
             self.reply(link, number, ReplyBody::Surveyed(surveyed));
@@ -212,6 +255,23 @@
         });
     }
 
+    /// Answers once there is a belief, or when the asking vm's patience ends.
+    fn show_first_survey(self: &Arc<Self>, link: u64, number: u64, ask: AskSurvey) {
+        let handler = Arc::clone(self);
+        tokio::spawn(async move {
+            let patience = Duration::from_millis(ask.patience_ms.into());
+            let first = handler.board.wait_for_belief(Duration::MAX, patience);
+            if first.await.is_none() {
+                tracing::debug!(event = "no_survey_to_show", link, number);
+            }
+            let ask = AskSurvey {
+                patience_ms: 0,
+                ..ask
+            };
+            handler.show_survey(link, number, ask);
+        });
+    }
+
     /// Shows the belief: as little of it as the asking vm lacks.
     fn surveyed(&self, known: AskSurvey) -> Surveyed {
         let Some(belief) = self.board.belief() else {
--- a/crates/proxy/src/rates.rs
+++ b/crates/proxy/src/rates.rs
@@ -5,11 +5,13 @@
 //! their use lapse after [`GRANT_TERM`]; until then an authority's burst is smaller by them, so that no
 //! window holds more than the burst and the rate. An authority goes on for [`GRANT_GRACE`] past its lease
 //! while the store is silent; a successor begins after that, or once the former one has certainly stopped.
+//! One that can be reached hands over what it has left, so that an account loses nothing when vms come and go.
 
 mod authority;
 mod exhausted;
 mod holdings;
 mod local_tokens;
+mod remainder;
 mod split;
 
 pub use authority::Authority;
@@ -21,5 +23,6 @@
 pub use holdings::Holdings;
 pub use local_tokens::LocalTokens;
 pub use local_tokens::Take;
+pub use remainder::Remainder;
 pub use split::GRANT_TERM;
 pub use split::Split;
--- a/crates/proxy/src/rates/authority.rs
+++ b/crates/proxy/src/rates/authority.rs
@@ -10,8 +10,12 @@
 
 use crate::clock::Moment;
 use crate::rates::GRANT_TERM;
+use crate::rates::Remainder;
 use crate::rates::Split;
 
+/// Time for which what is left of a part is kept for a successor that asks for it.
+const RETIRED_TERM: Duration = Duration::from_secs(5);
+
 /// Answer to a request for tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Grant {
@@ -137,6 +141,24 @@
         }
     }
 
+    /// Takes in what an authority before this one had left, and what it owed.
+    fn take_over(&mut self, remainder: Remainder, now: Moment) {
+        self.advance(now);
+        self.bucket.add(remainder.amount);
+        self.promised.extend((0..remainder.promised).map(|_| now));
+        self.keep_promises(now);
+    }
+
+    /// Returns what is left, and what is owed.
+    fn remainder(&self) -> Remainder {
+        let owed = u32::try_from(self.promised.len()).unwrap_or(u32::MAX);
+        let covered = u32::try_from(self.bucket.tokens() / TOKEN).unwrap_or(u32::MAX);
+        Remainder {
+            amount: self.bucket.tokens().saturating_sub(self.owed()),
+            promised: owed.saturating_sub(covered),
+        }
+    }
+
     /// Returns what was promised and has not been taken from the bucket.
     fn owed(&self) -> u64 {
         let count = u64::try_from(self.promised.len()).unwrap_or(u64::MAX);
@@ -144,27 +166,90 @@
     }
 }
 
+/// Part that is granted no more.
+#[derive(Debug)]
+struct Retired {
+    since: Moment,
+    part: Part,
+}
+
 /// Buckets of the accounts that this vm is the authority of.
 ///
-/// A bucket starts empty, because a former authority may just have granted a whole burst.
+/// A bucket starts empty, because a former authority may just have granted a whole burst; what that one has
+/// left is added when it hands it over.
 #[derive(Debug, Default)]
 pub struct Authority {
     parts: BTreeMap<AccountName, Part>,
+    retired: BTreeMap<AccountName, Retired>,
+    /// Accounts that were handed over, with the moment of the list of members that their successor goes by.
+    handed_over: BTreeMap<AccountName, Moment>,
 }
 
 impl Authority {
     /// Notes that this vm is the authority of an account, whose bucket begins to fill at `from`.
+    ///
+    /// A moment that has passed is one since which nobody has granted the account's part.
+    ///
+    /// One that was handed over is not held again; see [`Authority::learn`].
     pub fn hold(&mut self, account: &AccountName, split: Split, from: Moment, now: Moment) {
+        if self.handed_over.contains_key(account) {
+            return;
+        }
+        self.retired.remove(account);
         let parts = self.parts.entry(account.clone());
-        let part = parts.or_insert_with(|| Part::new(split, from.max(now)));
+        let part = parts.or_insert_with(|| Part::new(split, from));
         part.advance(now);
         part.split = split;
         part.begin(from, now);
     }
 
-    /// Forgets every account that `keep` does not name.
-    pub fn retain(&mut self, keep: impl Fn(&AccountName) -> bool) {
-        self.parts.retain(|account, _| keep(account));
+    /// Stops granting every account that `keep` does not name; what is left waits for a successor.
+    pub fn retain(&mut self, keep: impl Fn(&AccountName) -> bool, now: Moment) {
+        let dropped = self.parts.extract_if(.., |account, _| !keep(account));
+        self.retired.extend(dropped.map(|(account, mut part)| {
+            part.advance(now);
+            (account, Retired { since: now, part })
+        }));
+        self.retired
+            .retain(|_, retired| now.since(retired.since) < RETIRED_TERM);
+    }
+
+    /// Takes in that the list of members in force was read at `view`: who asked by an older one asks no more.
+    pub fn learn(&mut self, view: Moment) {
+        self.handed_over.retain(|_, successor| *successor >= view);
+    }
+
+    /// Stops granting an account for a successor that goes by a list read at `view`.
+    ///
+    /// Returns what is left of it; nothing if this vm grants it by a younger list, read at `own`.
+    pub fn hand_over(
+        &mut self,
+        account: &AccountName,
+        view: Moment,
+        own: Option<Moment>,
+        now: Moment,
+    ) -> Option<Remainder> {
+        let younger = own.is_some_and(|own| own > view);
+        if younger && self.parts.contains_key(account) {
+            return None;
+        }
+        let granted = self.parts.remove(account).map(|mut part| {
+            part.advance(now);
+            part
+        });
+        let retired = self.retired.remove(account).map(|retired| retired.part);
+        if !younger {
+            self.handed_over.insert(account.clone(), view);
+        }
+        let part = granted.or(retired);
+        Some(part.map_or(Remainder::default(), |part| part.remainder()))
+    }
+
+    /// Takes in what an authority before this one had left; of an account that is not held, nothing.
+    pub fn take_over(&mut self, account: &AccountName, remainder: Remainder, now: Moment) {
+        if let Some(part) = self.parts.get_mut(account) {
+            part.take_over(remainder, now);
+        }
     }
 
     /// Grants as much of a wish as there is; nothing if this vm is not the account's authority.
--- a/crates/proxy/src/rates/holdings.rs
+++ b/crates/proxy/src/rates/holdings.rs
@@ -33,40 +33,56 @@
 }
 
 impl Holdings {
-    /// Takes in which accounts this vm grants now; `lost` names the vms that granted one before and are in
-    /// the fleet no more.
+    /// Takes in which accounts this vm grants now; `before` names the vms that granted one until now.
     pub fn assign(
         &mut self,
         accounts: BTreeMap<AccountName, Split>,
-        lost: impl Fn(&AccountName, Split) -> BTreeSet<VmName>,
+        before: impl Fn(&AccountName, Split) -> BTreeSet<VmName>,
         now: Moment,
     ) {
         let mut known = std::mem::take(&mut self.accounts);
         for (account, split) in accounts {
             let holding = match known.remove(&account) {
                 Some(holding) => Holding { split, ..holding },
-                None => Holding::new(split, lost(&account, split), now),
+                None => Holding::new(split, before(&account, split), now),
             };
             self.accounts.insert(account, holding);
         }
     }
 
+    /// Takes in that this vm granted nothing for a while, in which others may have: nothing accrued then.
+    pub fn begin_again(&mut self, now: Moment) {
+        for holding in self.accounts.values_mut() {
+            holding.from = holding.from.max(now);
+        }
+    }
+
     /// Takes in that a vm certainly grants nothing any more.
     pub fn release(&mut self, vm: &VmName, now: Moment) {
         for holding in self.accounts.values_mut() {
-            if holding.before.remove(vm) && holding.before.is_empty() {
-                holding.from = holding.from.min(now);
-            }
+            holding.release(vm, now);
         }
     }
 
-    /// Returns the vms that may still grant what is this vm's now, each with one of the accounts.
+    /// Takes in that a vm certainly grants one account no more.
+    pub fn release_account(&mut self, vm: &VmName, account: &AccountName, now: Moment) {
+        if let Some(holding) = self.accounts.get_mut(account) {
+            holding.release(vm, now);
+        }
+    }
+
+    /// Returns the vms that may still grant what is this vm's now, each with the accounts.
     #[must_use]
-    pub fn awaited(&self, now: Moment) -> BTreeMap<VmName, AccountName> {
+    pub fn awaited(&self, now: Moment) -> BTreeMap<VmName, Vec<AccountName>> {
+        let mut awaited: BTreeMap<VmName, Vec<AccountName>> = BTreeMap::new();
         let waiting = self.accounts.iter().filter(|(_, held)| held.from > now);
-        waiting
-            .flat_map(|(account, held)| held.before.iter().map(|vm| (vm.clone(), account.clone())))
-            .collect()
+        for (account, held) in waiting {
+            for vm in &held.before {
+                let accounts = awaited.entry(vm.clone()).or_default();
+                accounts.push(account.clone());
+            }
+        }
+        awaited
     }
 
     /// Returns the accounts with what is held of them.
@@ -82,6 +98,12 @@
 }
 
 impl Holding {
+    fn release(&mut self, vm: &VmName, now: Moment) {
+        if self.before.remove(vm) && self.before.is_empty() {
+            self.from = self.from.min(now);
+        }
+    }
+
     fn new(split: Split, before: BTreeSet<VmName>, now: Moment) -> Self {
         let wait = if before.is_empty() {
             Duration::ZERO
--- a/crates/proxy/src/rates/local_tokens.rs
+++ b/crates/proxy/src/rates/local_tokens.rs
@@ -61,20 +61,19 @@
         }
     }
 
-    /// Spends a token for a new operation.
-    pub fn take(&mut self, now: Moment) -> Take {
+    /// Spends a token for a new operation that waits for it for `patience` at most.
+    pub fn take(&mut self, patience: Duration, now: Moment) -> Take {
         self.count(now);
-        self.take_again(now)
+        self.take_again(patience, now)
     }
 
     /// Spends a token for an operation that was counted before.
-    pub fn take_again(&mut self, now: Moment) -> Take {
+    pub fn take_again(&mut self, patience: Duration, now: Moment) -> Take {
         self.drop_lapsed(now);
-        let soonest = self
-            .held
-            .iter()
-            .enumerate()
-            .min_by_key(|(_, held)| held.due);
+        let latest = now.after(patience);
+        let held = self.held.iter().enumerate();
+        let in_time = held.filter(|(_, held)| held.due <= latest);
+        let soonest = in_time.min_by_key(|(_, held)| held.due);
         let Some(index) = soonest.map(|(index, _)| index) else {
             return Take::Wait;
         };
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -78,7 +78,8 @@
     let Ok(Some(Ok(FromCaller::Start { route, key }))) = first else {
         return None;
     };
-    let (client, answer) = match Client::start(number, route, key, Arc::clone(entry)) {
+    let started = Client::start(number, route, key, Arc::clone(entry)).await;
+    let (client, answer) = match started {
         Ok(client) => (Some(client), answer::ready()),
         Err(denial) => (None, vec![ToCaller::Error(denial.code(), denial.text())]),
     };
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -23,6 +23,7 @@
 use crate::wire::Request;
 use crate::wire::ToCaller;
 use crate::work::Answer;
+use crate::work::Class;
 use crate::work::Code;
 use crate::work::Setting;
 use crate::work::Statement;
@@ -32,6 +33,9 @@
 
 /// Time that a transaction may rest when the configuration names none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(3);
+/// Time for which a new session waits for a vm's first configuration: half of the 2 s after which callers of
+/// the users' platform give a start up.
+const START_WAIT: Duration = Duration::from_secs(1);
 
 /// One caller's session.
 #[derive(Debug)]
@@ -47,26 +51,24 @@
 }
 
 impl Client {
-    /// Begins a session.
+    /// Begins a session; on a vm that has just started, once it has a configuration.
     ///
     /// # Errors
     ///
-    /// Fails if a confirmed configuration lacks the route or the key. Without a confirmed one the
-    /// session begins, and its operations are refused until there is one.
-    pub(super) fn start(
+    /// Fails if a confirmed configuration lacks the route or the key, or if there is none for so long that
+    /// the caller had better go to another vm. With one that is not confirmed the session begins, and its
+    /// operations are refused until it is.
+    pub(super) async fn start(
         number: u64,
         route: RouteName,
         key: Option<Key>,
         entry: Arc<Entry>,
     ) -> Result<Self, Denial> {
-        let belief = entry.board.belief();
-        if let Ok(belief) = current(belief, entry.bounds.currency, Moment::now())
-            && let Err(denial) = look_up(&belief, &route, key.as_ref())
-        {
+        if let Err(denial) = may_start(&entry, &route, key.as_ref()).await {
             entry.meters.refused(denial.name());
+            let (version, age_ms) = shown(&entry);
             tracing::info!(event = "session_refused", session = number, route = %route,
-                cause = denial.name(), version = %belief.survey.configuration.version,
-                age_ms = millis(belief.age(Moment::now())));
+                cause = denial.name(), version, age_ms);
             return Err(denial);
         }
         Ok(Self {
@@ -203,7 +205,8 @@
         let admitted = self.look_up()?;
         if admitted.rate.is_some() {
             let asked = Moment::now();
-            let taken = self.entry.tokens.take(&admitted.account).await;
+            let objective = admitted.route.objective;
+            let taken = self.entry.tokens.take(&admitted.account, objective).await;
             self.entry.meters.token_waited(Moment::now().since(asked));
             taken.map_err(|retry_ms| Denial::RateSpent {
                 account: admitted.account.clone(),
@@ -351,23 +354,13 @@
 
     fn deny(&self, request: &str, denial: &Denial, state: TransactionState) -> Vec<ToCaller> {
         self.entry.meters.refused(denial.name());
-        let belief = self.entry.board.belief();
-        let version = belief.as_ref().map(|b| b.survey.configuration.version.0);
-        let age = belief.map(|b| millis(b.age(Moment::now())));
+        let (version, age_ms) = shown(&self.entry);
         tracing::info!(event = "operation_denied", request, session = self.number,
             account = denial.account().map(AccountName::as_str), route = %self.route,
-            cause = denial.name(), retry_ms = denial.retry_ms(), version, age_ms = age);
+            cause = denial.name(), retry_ms = denial.retry_ms(), version, age_ms);
         answer::error(denial.code(), denial.text(), state)
     }
 
-    /// Returns the latency objective of the session's route; none is longer than any wait.
-    fn objective(&self) -> Duration {
-        let belief = self.entry.board.belief();
-        belief
-            .and_then(|b| Some(b.survey.configuration.routes.get(&self.route)?.objective))
-            .unwrap_or(Duration::MAX)
-    }
-
     /// Logs and counts the outcome of a statement; successes within the objective are only counted.
     fn record(&self, request: &str, verb: Verb, messages: &[ToCaller], began: Moment) {
         let took = Moment::now().since(began);
@@ -380,19 +373,51 @@
             Some((code, _)) => code.name(),
         };
         self.entry.meters.statement(outcome, took);
-        let objective = self.objective();
-        if failure.is_none() && took > objective {
-            tracing::info!(event = "statement_late", request, session = self.number,
-                route = %self.route, verb = ?verb, took_ms = millis(took),
-                objective_ms = millis(objective));
+        let belief = self.entry.board.belief();
+        let configuration = belief.as_ref().map(|b| &b.survey.configuration);
+        let route = configuration.and_then(|c| c.routes.get(&self.route));
+        // Without a route there is no objective to miss.
+        let objective = route.map_or(Duration::MAX, |route| route.objective);
+        if failure.is_none() && took <= objective {
+            return;
         }
-        if let Some((code, text)) = failure {
-            tracing::info!(event = "statement_failed", request, session = self.number,
-                route = %self.route, verb = ?verb, code = ?code, text = %text, took_ms = millis(took));
+        let class = route.map(|route| Class::of(verb, route.guarantee).name());
+        let account = configuration.and_then(|c| c.keys.get(self.key.as_ref()?));
+        let account = account.map(AccountName::as_str);
+        match failure {
+            None => tracing::info!(event = "statement_late", request, session = self.number,
+                account, class, route = %self.route, verb = ?verb, took_ms = millis(took),
+                objective_ms = millis(objective)),
+            Some((code, text)) => {
+                tracing::info!(event = "statement_failed", request, session = self.number,
+                account, class, route = %self.route, verb = ?verb, code = ?code, text = %text,
+                took_ms = millis(took));
+            }
         }
     }
 }
 
+/// Decides whether a session may begin.
+async fn may_start(entry: &Entry, route: &RouteName, key: Option<&Key>) -> Result<(), Denial> {
+    let currency = entry.bounds.currency;
+    let board = &entry.board;
+    if board.belief().is_none() && board.wait_for_belief(currency, START_WAIT).await.is_none() {
+        return Err(Denial::NotCurrent(None));
+    }
+    match current(board.belief(), currency, Moment::now()) {
+        Ok(belief) => look_up(&belief, route, key).map(|_| ()),
+        Err(_) => Ok(()),
+    }
+}
+
+/// Returns version and age in milliseconds of the configuration, for a line of the log.
+fn shown(entry: &Entry) -> (Option<u64>, Option<u32>) {
+    let belief = entry.board.belief();
+    let version = belief.as_ref().map(|b| b.survey.configuration.version.0);
+    let age_ms = belief.map(|b| millis(b.age(Moment::now())));
+    (version, age_ms)
+}
+
 /// Returns the answer that tells a caller of an outcome.
 fn into_answer(outcome: Outcome) -> Answer {
     match outcome {
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -16,6 +16,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::board::Board;
+use crate::clock::Moment;
 use crate::entry;
 use crate::entry::Entry;
 use crate::entry::EntryBounds;
@@ -60,6 +61,7 @@
     settings: VmSettings,
     platform: Arc<dyn Platform>,
 ) -> Result<(), StartError> {
+    let started = Moment::now();
     let life = Lifecycle::new();
     life.drain_on_signal()?;
     let metrics = Metrics::new()?;
@@ -111,6 +113,8 @@
     .await?;
     surveyor::start(surveyor::Parts {
         me: settings.vm.clone(),
+        incarnation: me.incarnation,
+        started,
         board: Arc::clone(&board),
         links: Arc::clone(&links),
         platform: Arc::clone(&platform),
--- a/crates/proxy/src/vm/membership.rs
+++ b/crates/proxy/src/vm/membership.rs
@@ -15,6 +15,9 @@
 
 /// Time between two renewals; three may fail within a term.
 const RENEW_EVERY: Duration = Duration::from_millis(800);
+/// Time after which a vm that has never joined tries again, doubled with each failure up to that of a
+/// renewal: a vm without a place serves nobody.
+const JOIN_AGAIN: Duration = Duration::from_millis(100);
 
 /// Starts to keep the lease.
 pub(super) fn start(
@@ -24,19 +27,35 @@
     life: Lifecycle,
     timer: &Timer,
 ) {
+    let timer = timer.clone();
     let mut ticks = timer.every(RENEW_EVERY);
     tokio::spawn(async move {
+        let mut pause = JOIN_AGAIN;
         while ticks.recv().await.is_some() {
             if life.is_draining() {
                 return;
             }
-            if let Err(e) = renew(&me, &vm_lease, platform.as_ref()).await {
-                tracing::info!(event = "lease_not_renewed", vm = %me.vm, error = %e);
+            let joined = attempt(&me, &vm_lease, platform.as_ref()).await;
+            if !joined && vm_lease.renewed().is_none() && pause < RENEW_EVERY {
+                tokio::time::sleep(pause).await;
+                pause *= 2;
+                ticks = timer.every(RENEW_EVERY);
             }
         }
     });
 }
 
+/// Renews the lease or joins; returns whether that succeeded.
+async fn attempt(me: &Member, vm_lease: &VmLease, platform: &dyn Platform) -> bool {
+    match renew(me, vm_lease, platform).await {
+        Ok(()) => true,
+        Err(e) => {
+            tracing::info!(event = "lease_not_renewed", vm = %me.vm, error = %e);
+            false
+        }
+    }
+}
+
 /// Renews the lease, or takes a new one and joins with it.
 async fn renew(
     me: &Member,
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -1,7 +1,7 @@
 //! Actor that divides the work among vms and watches over the primaries of its groups.
 
-mod displaced;
 mod granting;
+mod predecessor;
 mod promotion;
 
 use std::collections::BTreeMap;
@@ -38,8 +38,8 @@
 use crate::runner::Contacts;
 use crate::runner::PoolHandle;
 use crate::runner::Probe;
-use crate::survey::Survey;
 use crate::vm::steward::granting::Granting;
+use crate::vm::steward::predecessor::Stopping;
 use crate::vm_lease::VmLease;
 use crate::wire::Wire;
 
@@ -119,8 +119,8 @@
 /// What became of a step of a succession.
 pub(super) struct Happened(GroupName, Event);
 
-/// A vm that lost its place grants no rates any more.
-struct Stopped(VmName);
+/// What became of a vm that granted rates before this one.
+struct Stopped(VmName, Stopping);
 
 /// Request for the state of the vm.
 struct Dump;
@@ -208,10 +208,20 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: Stopped, _ctx: &mut Context<Self, ()>) {
-        let Stopped(vm) = msg;
-        tracing::info!(event = "authority_stopped", vm = %vm);
-        self.granting.release(&vm);
+        let Stopped(vm, stopping) = msg;
+        self.granting.release(&vm, &stopping);
         self.grant();
+        let left = match stopping {
+            Stopping::HandedOver(left) => left,
+            Stopping::Ended | Stopping::Unknown => Vec::new(),
+        };
+        tracing::info!(event = "authority_stopped", vm = %vm, handed_over = left.len());
+        let now = Moment::now();
+        self.parts.handler.authority(|rates| {
+            for (account, remainder) in left {
+                rates.take_over(&account, remainder, now);
+            }
+        });
     }
 }
 
@@ -281,25 +291,33 @@
                 }
             }
         }
-        self.divide_accounts(survey, &assignment, itself);
+        self.divide_accounts(belief, &assignment, itself);
     }
 
-    /// Takes in which accounts this vm grants, and asks vms that are gone whether they have stopped.
+    /// Takes in which accounts this vm grants, and asks the vms that granted them before to stop.
     fn divide_accounts(
         &mut self,
-        survey: &Survey,
+        belief: &Belief,
         assignment: &Arc<Assignment>,
         itself: &ActorRef<Self>,
     ) {
+        let view = belief.asked;
+        self.parts.handler.authority(|rates| rates.learn(view));
         let me = &self.parts.me;
-        let displaced = self.granting.assign(survey, assignment, me, Moment::now());
-        for displaced in displaced {
-            tracing::info!(event = "authority_lost", vm = %displaced.vm, account = %displaced.account);
+        let lease = &self.parts.vm_lease;
+        let predecessors = self.granting.assign(&belief.survey, assignment, me, lease);
+        for predecessor in predecessors {
+            tracing::info!(event = "authority_awaited", vm = %predecessor.vm,
+                accounts = predecessor.accounts.len());
             let links = Arc::clone(&self.parts.links);
             let itself = itself.clone();
             tokio::spawn(async move {
-                if displaced::has_stopped(&links, &displaced).await
-                    && itself.tell(Stopped(displaced.vm)).await.is_err()
+                let stopping = predecessor.stop(&links, view).await;
+                if stopping != Stopping::Unknown
+                    && itself
+                        .tell(Stopped(predecessor.vm, stopping))
+                        .await
+                        .is_err()
                 {
                     tracing::debug!(event = "steward_gone");
                 }
--- a/crates/proxy/src/vm/steward/granting.rs
+++ b/crates/proxy/src/vm/steward/granting.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use mustardbay_policy::names::AccountName;
@@ -12,24 +11,16 @@
 
 use crate::clock::Moment;
 use crate::fleet::Assignment;
+use crate::fleet::Member;
 use crate::link_handler::LinkHandler;
 use crate::rates::GRANT_GRACE;
 use crate::rates::Holdings;
 use crate::rates::Split;
 use crate::survey::Survey;
+use crate::vm::steward::predecessor::Predecessor;
+use crate::vm::steward::predecessor::Stopping;
 use crate::vm_lease::VmLease;
 
-/// Vm that lost its place and may still grant the rate of an account that is this vm's now.
-#[derive(Debug, Clone)]
-pub(super) struct Displaced {
-    /// The vm.
-    pub(super) vm: VmName,
-    /// Where it listened.
-    pub(super) address: SocketAddr,
-    /// One of the accounts.
-    pub(super) account: AccountName,
-}
-
 /// Accounts whose rates this vm grants, and whether it may.
 #[derive(Debug, Default)]
 pub(super) struct Granting {
@@ -38,42 +29,63 @@
     assignment: Option<Arc<Assignment>>,
     /// Whether the accounts were granted when it was last looked at.
     in_force: bool,
+    /// Whether they ever were.
+    granted_before: bool,
 }
 
 impl Granting {
-    /// Takes in a division of the work; returns the vms that are to be asked whether they have stopped.
+    /// Takes in a division of the work; returns the vms that are to be asked to hand over.
     pub(super) fn assign(
         &mut self,
         survey: &Survey,
         assignment: &Arc<Assignment>,
         me: &VmName,
-        now: Moment,
-    ) -> Vec<Displaced> {
+        lease: &VmLease,
+    ) -> Vec<Predecessor> {
+        let now = Moment::now();
         let granted = granted_accounts(survey, assignment, me);
         let former = self.assignment.replace(Arc::clone(assignment));
-        let Some(former) = former else {
-            self.holdings.assign(granted, |_, _| BTreeSet::new(), now);
+        let kept = lease.kept_since(&survey.members);
+        if let (None, Some(since)) = (&former, kept) {
+            // What has accrued since the process before this one ended was granted by nobody.
+            let from = since.max(now.before(GRANT_GRACE));
+            self.holdings.assign(granted, |_, _| BTreeSet::new(), from);
             return Vec::new();
+        }
+        let former = former.unwrap_or_else(|| Arc::new(without(survey, me)));
+        let before = |account: &AccountName, split| {
+            let granting = former.authorities(account);
+            let granting: BTreeSet<VmName> = names(&granting, split).collect();
+            let present = assignment.authorities(account);
+            let present: BTreeSet<VmName> = names(&present, split).collect();
+            &granting - &present
         };
-        let lost =
-            |account: &AccountName, split| lost_authorities(&former, assignment, account, split);
-        self.holdings.assign(granted, lost, now);
+        self.holdings.assign(granted, before, now);
         let awaited = self.holdings.awaited(now).into_iter();
         awaited
-            .filter_map(|(vm, account)| {
-                let address = former.address(&vm)?;
-                Some(Displaced {
+            .filter_map(|(vm, accounts)| {
+                let address = former.address(&vm).or_else(|| assignment.address(&vm))?;
+                Some(Predecessor {
                     vm,
                     address,
-                    account,
+                    accounts,
                 })
             })
             .collect()
     }
 
-    /// Takes in that a vm certainly grants nothing any more.
-    pub(super) fn release(&mut self, vm: &VmName) {
-        self.holdings.release(vm, Moment::now());
+    /// Takes in what became of a vm that granted before.
+    pub(super) fn release(&mut self, vm: &VmName, stopping: &Stopping) {
+        let now = Moment::now();
+        match stopping {
+            Stopping::Ended => self.holdings.release(vm, now),
+            Stopping::HandedOver(accounts) => {
+                for (account, _) in accounts {
+                    self.holdings.release_account(vm, account, now);
+                }
+            }
+            Stopping::Unknown => {}
+        }
     }
 
     /// Returns the state for a dump.
@@ -94,10 +106,15 @@
     pub(super) fn put_in_force(&mut self, lease: &VmLease, handler: &LinkHandler) {
         let now = Moment::now();
         let granting = may_grant(lease);
+        let resumes = granting && !self.in_force && self.granted_before;
+        if resumes {
+            self.holdings.begin_again(now);
+        }
         self.in_force = granting;
+        self.granted_before |= granting;
         let holdings = &self.holdings;
         handler.authority(|rates| {
-            rates.retain(|account| granting && holdings.contains(account));
+            rates.retain(|account| granting && holdings.contains(account), now);
             if granting {
                 for (account, held) in holdings.iter() {
                     rates.hold(account, held.split, held.from, now);
@@ -133,17 +150,15 @@
         .collect()
 }
 
-/// Returns the vms that granted an account's rate and are members no more.
-fn lost_authorities(
-    former: &Assignment,
-    assignment: &Assignment,
-    account: &AccountName,
-    split: Split,
-) -> BTreeSet<VmName> {
-    let authorities = former.authorities(account);
+/// Returns the names of the vms that grant an account's rate, of those that may.
+fn names(authorities: &[Member], split: Split) -> impl Iterator<Item = VmName> {
     let granting = authorities.iter().take(split.authorities);
-    granting
-        .map(|member| member.vm.clone())
-        .filter(|vm| assignment.address(vm).is_none())
-        .collect()
+    granting.map(|member| member.vm.clone())
+}
+
+/// Returns how the work was divided before this vm joined.
+fn without(survey: &Survey, me: &VmName) -> Assignment {
+    let others = survey.members.iter().filter(|member| member.vm != *me);
+    let others = Arc::new(others.cloned().collect());
+    Assignment::new(others, survey.configuration.groups.keys())
 }
--- a/crates/proxy/src/vm/surveyor.rs
+++ b/crates/proxy/src/vm/surveyor.rs
@@ -4,6 +4,8 @@
 //! another, and read the store themselves when no reader has a younger survey. Calls to the store so grow
 //! with the domains, not with the fleet.
 
+mod peers;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,14 +16,13 @@
 use crate::board::Belief;
 use crate::board::Board;
 use crate::bootstrap::Source;
+use crate::bootstrap::first_pause;
 use crate::bootstrap::first_source;
+use crate::bootstrap::listing_holds;
 use crate::clock::Moment;
+use crate::fleet::Incarnation;
 use crate::fleet::Member;
-use crate::link::AskBody;
 use crate::link::Links;
-use crate::link::ReplyBody;
-use crate::link::frame::AskSurvey;
-use crate::link::frame::Surveyed as Shown;
 use crate::meters::Meters;
 use crate::platform::Platform;
 use crate::store_pause::Sight;
@@ -31,22 +32,22 @@
 use crate::survey::Survey;
 use crate::vm::steward::Steward;
 use crate::vm::steward::Surveyed;
+use crate::vm::surveyor::peers::Peers;
 use crate::vm_lease::VmLease;
 
 /// Time between two readings: a version is then in force within two of them and the way.
 const SURVEY_EVERY: Duration = Duration::from_millis(900);
 /// Pause after no reading succeeded.
 const RETRY: Duration = Duration::from_millis(250);
-/// Longest wait for another vm's survey.
-const PEER_TIMEOUT: Duration = Duration::from_millis(250);
-/// Longest wait for a whole survey of another vm: as long as for a list of the store.
-const WHOLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Other vms that are asked in one round when the store does not answer.
 const PEERS: usize = 3;
 
 /// What the surveyor works with.
 pub(super) struct Parts {
     pub(super) me: VmName,
+    pub(super) incarnation: Incarnation,
+    /// When the process started.
+    pub(super) started: Moment,
     pub(super) board: Arc<Board>,
     pub(super) links: Arc<Links>,
     pub(super) platform: Arc<dyn Platform>,
@@ -58,7 +59,10 @@
 /// The surveyor's memory between two rounds.
 struct Surveyor {
     parts: Parts,
+    peers: Peers,
     round: usize,
+    /// List of members that was read before there was a belief.
+    listed: Option<Arc<Vec<Member>>>,
     /// Whether the store answered the last call.
     reachable: bool,
     pause: StorePause,
@@ -67,24 +71,31 @@
 /// Starts to survey.
 pub(super) fn start(parts: Parts) {
     let mut surveyor = Surveyor {
+        peers: Peers::new(Arc::clone(&parts.links)),
         parts,
         round: 0,
+        listed: None,
         reachable: true,
         pause: StorePause::default(),
     };
     tokio::spawn(async move {
         loop {
-            let pause = if surveyor.round().await {
-                SURVEY_EVERY
-            } else {
-                RETRY
-            };
-            tokio::time::sleep(pause).await;
+            let renewed = surveyor.round().await;
+            tokio::time::sleep(surveyor.pause_after(renewed)).await;
         }
     });
 }
 
 impl Surveyor {
+    /// Returns the time until the next round.
+    fn pause_after(&self, renewed: bool) -> Duration {
+        match (renewed, self.parts.board.belief()) {
+            (true, _) => SURVEY_EVERY,
+            (false, Some(_)) => RETRY,
+            (false, None) => first_pause(self.round).min(RETRY),
+        }
+    }
+
     /// Renews the belief from wherever it can be; returns whether it did.
     async fn round(&mut self) -> bool {
         self.round += 1;
@@ -120,28 +131,43 @@
 
     /// Takes the first survey from the store or from other vms.
     async fn first_round(&mut self) -> bool {
-        let members = match self.parts.platform.members().await {
-            Ok(members) => Arc::new(members),
-            Err(e) => {
-                tracing::debug!(event = "members_unread", error = %e);
-                return false;
-            }
+        let Some(members) = self.first_members().await else {
+            return false;
         };
         match first_source(&members, &self.parts.me, self.round) {
             Source::Wait => false,
             Source::Store => self.read_store().await,
             Source::Vms(vms) => {
-                for member in &vms {
-                    if let Some(belief) = self.parts.ask(member, None).await {
-                        self.parts.adopt(belief, member.vm.as_str()).await;
-                        return true;
-                    }
-                }
-                false
+                let Some((belief, vm)) = self.peers.ask_first(vms).await else {
+                    return false;
+                };
+                self.parts.adopt(belief, vm.as_str()).await;
+                true
             }
         }
     }
 
+    /// Returns the list of members that a first round goes by.
+    async fn first_members(&mut self) -> Option<Arc<Vec<Member>>> {
+        if let Some(listed) = &self.listed
+            && listing_holds(listed, &self.parts.me, self.round)
+        {
+            return Some(Arc::clone(listed));
+        }
+        let members = match self.parts.platform.members().await {
+            Ok(members) => Arc::new(members),
+            Err(e) => {
+                self.parts.meters.store_call("members", "failed");
+                tracing::debug!(event = "members_unread", error = %e);
+                return None;
+            }
+        };
+        self.parts.meters.store_call("members", "ok");
+        self.parts.note_kept_place(&members);
+        self.listed = Some(Arc::clone(&members));
+        Some(members)
+    }
+
     async fn read_store(&mut self) -> bool {
         let asked = Moment::now();
         let survey = match self.parts.platform.survey().await {
@@ -202,7 +228,7 @@
             if member.vm == self.parts.me {
                 continue;
             }
-            let Some(younger) = self.parts.ask(member, Some(&known)).await else {
+            let Some(younger) = self.peers.ask(member, &known).await else {
                 continue;
             };
             known = younger.clone();
@@ -216,6 +242,14 @@
 }
 
 impl Parts {
+    /// Notes that the entry of this vm's process before this one is still listed: its place was kept.
+    fn note_kept_place(&self, members: &Arc<Vec<Member>>) {
+        let former = members.iter().find(|member| member.vm == self.me);
+        if former.is_some_and(|former| former.incarnation != self.incarnation) {
+            self.vm_lease.keep_place(self.started, Arc::clone(members));
+        }
+    }
+
     async fn adopt(&self, belief: Belief, source: &str) {
         let version = belief.survey.configuration.version;
         let age = Moment::now().since(belief.asked);
@@ -233,93 +267,4 @@
             tracing::error!(event = "steward_gone");
         }
     }
-
-    /// Asks a vm for its survey; nothing if it has none that is younger than `known`.
-    ///
-    /// A new configuration is asked for once it is known that there is one, since it may take long to send.
-    async fn ask(&self, member: &Member, known: Option<&Belief>) -> Option<Belief> {
-        let asked = Moment::now();
-        let shown = self.ask_once(member, known, false).await?;
-        let proven = asked.before(Duration::from_millis(shown.age_ms));
-        if shown.stamp == 0 || known.is_some_and(|known| proven <= known.asked) {
-            return None;
-        }
-        if let Some(known) = known.filter(|known| known.stamp.0 == shown.stamp) {
-            return Some(Belief {
-                asked: proven,
-                ..known.clone()
-            });
-        }
-        if shown.surroundings.is_empty() {
-            let asked = Moment::now();
-            let shown = self.ask_once(member, known, true).await?;
-            return decode(shown, known, asked, &member.vm).await;
-        }
-        decode(shown, known, asked, &member.vm).await
-    }
-
-    async fn ask_once(
-        &self,
-        member: &Member,
-        known: Option<&Belief>,
-        whole: bool,
-    ) -> Option<Shown> {
-        let ask = AskSurvey {
-            stamp: known.map_or(0, |known| known.stamp.0),
-            version: known.map_or(0, |known| known.survey.configuration.version.0),
-            whole,
-        };
-        let patience = if whole { WHOLE_TIMEOUT } else { PEER_TIMEOUT };
-        let call = async {
-            let link = self.links.to(&member.vm, member.address).await?;
-            match link.call(link.number(), AskBody::Survey(ask)).await {
-                Ok(ReplyBody::Surveyed(shown)) => Some(shown),
-                other => {
-                    tracing::debug!(event = "survey_not_shown", vm = %member.vm, answer = ?other);
-                    None
-                }
-            }
-        };
-        tokio::time::timeout(patience, call).await.ok().flatten()
-    }
-}
-
-/// Decodes a survey that a vm showed, beside the other work; its proof is dated from before the question,
-/// whenever the answer was written.
-async fn decode(
-    shown: Shown,
-    known: Option<&Belief>,
-    asked: Moment,
-    vm: &VmName,
-) -> Option<Belief> {
-    let proven = asked.before(Duration::from_millis(shown.age_ms));
-    let stamp = Stamp(shown.stamp);
-    let known = known.map(|known| known.survey.clone());
-    let decoded = tokio::task::spawn_blocking(move || read(&shown, known.as_ref())).await;
-    match decoded {
-        Ok(Ok(survey)) => Some(Belief {
-            survey,
-            stamp,
-            asked: proven,
-        }),
-        Ok(Err(e)) => {
-            tracing::warn!(event = "survey_unreadable", vm = %vm, error = %e);
-            None
-        }
-        Err(e) => {
-            tracing::error!(event = "survey_not_decoded", vm = %vm, error = %e);
-            None
-        }
-    }
-}
-
-/// Decodes a survey; one whose configuration is known comes without it.
-fn read(shown: &Shown, known: Option<&Survey>) -> Result<Survey, serde_json::Error> {
-    match known {
-        Some(known) if !shown.surroundings.is_empty() => {
-            let surroundings = serde_json::from_slice(&shown.surroundings)?;
-            Ok(known.with(surroundings))
-        }
-        _ => serde_json::from_slice(&shown.survey),
-    }
 }
--- /dev/null
+++ b/crates/proxy/src/vm/surveyor/peers.rs
@@ -0,0 +1,166 @@
+//! Questions to other vms for their surveys.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use mustardbay_policy::names::VmName;
+
+use crate::board::Belief;
+use crate::clock::Moment;
+use crate::clock::millis;
+use crate::fleet::Member;
+use crate::link::AskBody;
+use crate::link::Links;
+use crate::link::ReplyBody;
+use crate::link::frame::AskSurvey;
+use crate::link::frame::Surveyed as Shown;
+use crate::survey::Stamp;
+use crate::survey::Survey;
+
+/// Longest wait for another vm's answer, besides the time that it may wait itself.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest wait for a whole survey of another vm: as long as for a list of the store.
+const WHOLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which a vm that has just started waits for its own first survey before it answers.
+const FIRST_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Other vms, as far as their surveys go.
+#[derive(Debug, Clone)]
+pub(super) struct Peers {
+    links: Arc<Links>,
+}
+
+/// What is asked of one vm.
+#[derive(Debug, Clone, Copy)]
+struct Question<'a> {
+    known: Option<&'a Belief>,
+    whole: bool,
+    patience: Duration,
+}
+
+impl Peers {
+    pub(super) fn new(links: Arc<Links>) -> Self {
+        Self { links }
+    }
+
+    /// Asks a vm for its survey; nothing if it has none that is younger than `known`.
+    pub(super) async fn ask(&self, member: &Member, known: &Belief) -> Option<Belief> {
+        self.ask_within(member, Some(known), Duration::ZERO).await
+    }
+
+    /// Asks vms for a first survey, all at once; returns the one that comes first, and whose it is.
+    pub(super) async fn ask_first(&self, members: Vec<Member>) -> Option<(Belief, VmName)> {
+        let questions: FuturesUnordered<_> = members
+            .iter()
+            .map(|member| async move {
+                let belief = self.ask_within(member, None, FIRST_PATIENCE).await?;
+                Some((belief, member.vm.clone()))
+            })
+            .collect();
+        let mut answers = questions.filter_map(std::future::ready);
+        answers.next().await
+    }
+
+    /// A new configuration is asked for once it is known that there is one, since it may take long to send.
+    async fn ask_within(
+        &self,
+        member: &Member,
+        known: Option<&Belief>,
+        patience: Duration,
+    ) -> Option<Belief> {
+        let mut asked = Moment::now();
+        let question = Question {
+            known,
+            whole: false,
+            patience,
+        };
+        let mut shown = self.ask_once(member, question).await?;
+        let proven = asked.before(Duration::from_millis(shown.age_ms));
+        if shown.stamp == 0 || known.is_some_and(|known| proven <= known.asked) {
+            return None;
+        }
+        if let Some(known) = known.filter(|known| known.stamp.0 == shown.stamp) {
+            return Some(Belief {
+                asked: proven,
+                ..known.clone()
+            });
+        }
+        if shown.surroundings.is_empty() {
+            asked = Moment::now();
+            let question = Question {
+                whole: true,
+                ..question
+            };
+            shown = self.ask_once(member, question).await?;
+        }
+        decode(shown, known, asked, &member.vm).await
+    }
+
+    async fn ask_once(&self, member: &Member, question: Question<'_>) -> Option<Shown> {
+        let known = question.known;
+        let ask = AskSurvey {
+            stamp: known.map_or(0, |known| known.stamp.0),
+            version: known.map_or(0, |known| known.survey.configuration.version.0),
+            whole: question.whole,
+            patience_ms: millis(question.patience),
+        };
+        let timeout = if question.whole {
+            WHOLE_TIMEOUT
+        } else {
+            ANSWER_TIMEOUT + question.patience
+        };
+        let call = async {
+            let link = self.links.to(&member.vm, member.address).await?;
+            match link.call(link.number(), AskBody::Survey(ask)).await {
+                Ok(ReplyBody::Surveyed(shown)) => Some(shown),
+                other => {
+                    tracing::debug!(event = "survey_not_shown", vm = %member.vm, answer = ?other);
+                    None
+                }
+            }
+        };
+        tokio::time::timeout(timeout, call).await.ok().flatten()
+    }
+}
+
+/// Decodes a survey that a vm showed, beside the other work; its proof is dated from before the question,
+/// whenever the answer was written.
+async fn decode(
+    shown: Shown,
+    known: Option<&Belief>,
+    asked: Moment,
+    vm: &VmName,
+) -> Option<Belief> {
+    let proven = asked.before(Duration::from_millis(shown.age_ms));
+    let stamp = Stamp(shown.stamp);
+    let known = known.map(|known| known.survey.clone());
+    let decoded = tokio::task::spawn_blocking(move || read(&shown, known.as_ref())).await;
+    match decoded {
+        Ok(Ok(survey)) => Some(Belief {
+            survey,
+            stamp,
+            asked: proven,
+        }),
+        Ok(Err(e)) => {
+            tracing::warn!(event = "survey_unreadable", vm = %vm, error = %e);
+            None
+        }
+        Err(e) => {
+            tracing::error!(event = "survey_not_decoded", vm = %vm, error = %e);
+            None
+        }
+    }
+}
+
+/// Decodes a survey; one whose configuration is known comes without it.
+fn read(shown: &Shown, known: Option<&Survey>) -> Result<Survey, serde_json::Error> {
+    match known {
+        Some(known) if !shown.surroundings.is_empty() => {
+            let surroundings = serde_json::from_slice(&shown.surroundings)?;
+            Ok(known.with(surroundings))
+        }
+        _ => serde_json::from_slice(&shown.survey),
+    }
+}
--- a/crates/proxy/src/vm_lease.rs
+++ b/crates/proxy/src/vm_lease.rs
@@ -1,9 +1,11 @@
 //! This vm's lease: whether its place in the fleet is in force.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use crate::clock::Moment;
+use crate::fleet::Member;
 use crate::platform::LeaseId;
 use crate::sync::lock;
 
@@ -14,6 +16,16 @@
 #[derive(Debug, Default)]
 pub struct VmLease {
     state: Mutex<State>,
+    kept: Mutex<Option<KeptPlace>>,
+}
+
+/// Proof that nobody took this vm's place between its process before this one and this one.
+#[derive(Debug, Clone)]
+struct KeptPlace {
+    /// When this process started: the one before it had ended by then.
+    since: Moment,
+    /// Members at the time, this vm's entry of before among them.
+    members: Arc<Vec<Member>>,
 }
 
 #[derive(Debug, Default, Clone, Copy)]
@@ -33,6 +45,20 @@
         };
     }
 
+    /// Notes that this vm's entry of before was still listed, among `members`, after a start at `since`.
+    pub fn keep_place(&self, since: Moment, members: Arc<Vec<Member>>) {
+        *lock(&self.kept) = Some(KeptPlace { since, members });
+    }
+
+    /// Returns the moment since which nobody has done this vm's work, if its place was kept and `members`
+    /// are still the same vms.
+    pub fn kept_since(&self, members: &[Member]) -> Option<Moment> {
+        let kept = lock(&self.kept);
+        let kept = kept.as_ref()?;
+        let names = |members: &[Member]| members.iter().map(|m| m.vm.clone()).collect::<Vec<_>>();
+        (names(&kept.members) == names(members)).then_some(kept.since)
+    }
+
     /// Notes that the lease has ended.
     pub fn end(&self) {
         *lock(&self.state) = State::default();
--- a/crates/proxy/src/work/class.rs
+++ b/crates/proxy/src/work/class.rs
@@ -1,6 +1,7 @@
 //! Class of work, as metrics tell it apart.
 
 use crate::work::Guarantee;
+use crate::work::Verb;
 
 /// What a statement is asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -12,6 +13,15 @@
 }
 
 impl Class {
+    /// Returns the class of a statement by itself, on a route with a guarantee.
+    #[must_use]
+    pub fn of(verb: Verb, guarantee: Guarantee) -> Self {
+        match verb {
+            Verb::Read | Verb::BeginRead => Self::Read(guarantee),
+            Verb::Write | Verb::Begin | Verb::Commit | Verb::Rollback => Self::Write,
+        }
+    }
+
     /// Returns the name that metrics show.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/crates/proxy/tests/board.rs
+++ b/crates/proxy/tests/board.rs
@@ -22,6 +22,9 @@
 use mustardbay_proxy::work::Guarantee;
 use test_case::test_case;
 
+/// Longest wait of a test for a belief.
+const PATIENCE: Duration = Duration::from_secs(5);
+
 fn at(millis: u64) -> Moment {
     Moment::from_boot(Duration::from_millis(millis))
 }
@@ -94,3 +97,28 @@
     let shown = format!("{:?}", belief(7, 0));
     assert!(!shown.contains("\"k\""), "{shown}");
 }
+
+/// Sessions of a vm that has just started wait for its first belief, all at once.
+#[tokio::test]
+async fn wait_for_belief_ends_with_the_first_one() {
+    let board = Arc::new(Board::default());
+    let waiting: Vec<_> = (0..50)
+        .map(|_| {
+            let board = Arc::clone(&board);
+            tokio::spawn(async move { board.wait_for_belief(Duration::MAX, PATIENCE).await })
+        })
+        .collect();
+    tokio::task::yield_now().await;
+    board.adopt(belief(7, 100));
+    for found in waiting {
+        let found = found.await.expect("it does not panic");
+        assert!(found.is_some(), "each gets the belief");
+    }
+}
+
+#[tokio::test]
+async fn wait_for_belief_ends_without_one() {
+    let board = Board::default();
+    let none = board.wait_for_belief(Duration::MAX, Duration::from_millis(20));
+    assert_eq!(none.await, None);
+}
--- a/crates/proxy/tests/bootstrap.rs
+++ b/crates/proxy/tests/bootstrap.rs
@@ -1,11 +1,14 @@
 //! Where vms take their first survey from when all start at once.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::VmName;
 use mustardbay_proxy::bootstrap::Source;
+use mustardbay_proxy::bootstrap::first_pause;
 use mustardbay_proxy::bootstrap::first_source;
+use mustardbay_proxy::bootstrap::listing_holds;
 use mustardbay_proxy::fleet::Incarnation;
 use mustardbay_proxy::fleet::Member;
 use test_case::test_case;
@@ -55,3 +58,28 @@
     assert!(asked.len() > 16, "{asked:?}");
     assert_eq!(first_source(&members, &me, 24), Source::Store);
 }
+
+/// A fleet that starts at once has its first survey soon; a store that is away is left in peace.
+#[test]
+fn pauses_begin_short_and_grow() {
+    let pauses: Vec<Duration> = (1..=8).map(first_pause).collect();
+    assert!(pauses[0] <= Duration::from_millis(50), "{pauses:?}");
+    assert!(pauses.is_sorted(), "{pauses:?}");
+    let first_three: Duration = pauses[..3].iter().sum();
+    assert!(first_three < Duration::from_millis(300), "{pauses:?}");
+    assert!(pauses[7] >= Duration::from_millis(250), "{pauses:?}");
+}
+
+/// A vm that asks others in vain reads the list of members again only now and then.
+#[test]
+fn listing_is_read_again_after_a_few_rounds_or_without_the_vm() {
+    let members = list(300);
+    let read = |me: &str| {
+        let me = VmName::from(me);
+        (1..=24)
+            .filter(|round| !listing_holds(&members, &me, *round))
+            .count()
+    };
+    assert_eq!(read("vm0001"), 6);
+    assert_eq!(read("new"), 24);
+}
--- a/crates/proxy/tests/rates.rs
+++ b/crates/proxy/tests/rates.rs
@@ -2,12 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::VmName;
 use mustardbay_proxy::clock::Moment;
 use mustardbay_proxy::configuration::Account;
+use mustardbay_proxy::fleet::Incarnation;
+use mustardbay_proxy::fleet::Member;
 use mustardbay_proxy::platform::LeaseId;
 use mustardbay_proxy::rates::Authority;
 use mustardbay_proxy::rates::Exhausted;
@@ -15,6 +19,7 @@
 use mustardbay_proxy::rates::Grant;
 use mustardbay_proxy::rates::Holdings;
 use mustardbay_proxy::rates::LocalTokens;
+use mustardbay_proxy::rates::Remainder;
 use mustardbay_proxy::rates::Split;
 use mustardbay_proxy::rates::Take;
 use mustardbay_proxy::rates::Wish;
@@ -72,7 +77,7 @@
 
     /// Wishes to spend one token on a vm.
     fn take(&mut self, vm: usize) {
-        let mut taken = self.tokens[vm].take(self.now);
+        let mut taken = self.tokens[vm].take(self.patience, self.now);
         let needed = taken == Take::Wait;
         if let Some(wish) = self.tokens[vm].ask(needed, self.now) {
             let grant = self.draw(vm, wish);
@@ -80,7 +85,7 @@
             self.tokens[vm].granted(grant.amount, self.now, due);
         }
         if needed {
-            taken = self.tokens[vm].take_again(self.now);
+            taken = self.tokens[vm].take_again(self.patience, self.now);
         }
         match taken {
             Take::Spent(after) => self.spend(after),
@@ -272,7 +277,7 @@
     let now = Moment::from_boot(Duration::from_secs(1));
     let name = AccountName::from("a");
     authority.hold(&name, Split::new(account(10, 10), 3), now, now);
-    authority.retain(|_| false);
+    authority.retain(|_| false, now);
     let wish = Wish {
         amount: TOKEN,
         waiting: true,
@@ -410,3 +415,250 @@
         "the store's word counts"
     );
 }
+
+fn members(names: &[&str]) -> Arc<Vec<Member>> {
+    let member = |name: &&str| Member {
+        vm: VmName::from(*name),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: DomainName::from("d"),
+        incarnation: Incarnation(1),
+        weight: 100,
+    };
+    Arc::new(names.iter().map(member).collect())
+}
+
+/// All vms lose power and start again: nobody has granted anything since the processes before ended.
+#[test_case(&["vm1", "vm2"], true; "same_vms")]
+#[test_case(&["vm1"], false; "one_has_left")]
+#[test_case(&["vm1", "vm2", "vm3"], false; "one_has_come")]
+fn kept_place_holds_while_the_members_are_the_same(now: &[&str], kept: bool) {
+    let lease = VmLease::default();
+    let started = Moment::from_boot(Duration::from_secs(100));
+    assert_eq!(lease.kept_since(&members(now)), None);
+    lease.keep_place(started, members(&["vm1", "vm2"]));
+    assert_eq!(lease.kept_since(&members(now)), kept.then_some(started));
+}
+
+#[test]
+fn authority_that_kept_its_place_has_what_accrued_since_its_start() {
+    let name = AccountName::from("a");
+    let split = Split::new(account(10, 10), 1);
+    let started = Moment::from_boot(Duration::from_secs(100));
+    let now = started.after(Duration::from_millis(700));
+    let mut authority = Authority::default();
+    authority.hold(&name, split, started, now);
+    assert_eq!(
+        granted_at(&mut authority, &name, now),
+        7,
+        "no burst of before"
+    );
+}
+
+/// The lease ended and came back: others may have granted meanwhile.
+#[test]
+fn authority_that_begins_again_has_nothing() {
+    let name = AccountName::from("a");
+    let split = Split::new(account(10, 10), 1);
+    let now = Moment::from_boot(Duration::from_secs(100));
+    let mut holdings = Holdings::default();
+    let granted = BTreeMap::from([(name.clone(), split)]);
+    holdings.assign(granted, |_, _| BTreeSet::new(), now);
+    let later = now.after(Duration::from_secs(5));
+    holdings.begin_again(later);
+    let mut authority = Authority::default();
+    for (account, held) in holdings.iter() {
+        authority.hold(account, held.split, held.from, later);
+    }
+    assert_eq!(granted_at(&mut authority, &name, later), 0);
+}
+
+/// Returns the whole tokens that an authority grants at once.
+fn granted_at(authority: &mut Authority, name: &AccountName, now: Moment) -> u64 {
+    let wish = Wish {
+        amount: 1_000 * TOKEN,
+        waiting: true,
+        patience: Duration::ZERO,
+    };
+    let grant = authority.grant(name, wish, now);
+    grant.expect("it is the authority").amount / TOKEN
+}
+
+#[test_case(50, Take::Wait; "too_late_for_it")]
+#[test_case(160, Take::Spent(Duration::from_millis(150)); "in_time_for_it")]
+fn take_leaves_a_token_that_comes_too_late(patience: u64, expected: Take) {
+    let now = Moment::from_boot(Duration::from_secs(100));
+    let mut tokens = LocalTokens::new(now);
+    tokens.granted(TOKEN, now, now.after(Duration::from_millis(150)));
+    let patience = Duration::from_millis(patience);
+    assert_eq!(tokens.take(patience, now), expected);
+}
+
+/// Two vms of which the second takes an account over from the first, a second after both began.
+struct HandOver {
+    name: AccountName,
+    split: Split,
+    former: Authority,
+    successor: Authority,
+    /// When the list of members was read that makes the second one the authority.
+    view: Moment,
+    now: Moment,
+}
+
+impl HandOver {
+    fn new() -> Self {
+        let start = Moment::from_boot(Duration::from_secs(100));
+        let now = start.after(Duration::from_secs(1));
+        let mut world = Self {
+            name: AccountName::from("a"),
+            split: Split::new(account(10, 10), 1),
+            former: Authority::default(),
+            successor: Authority::default(),
+            view: now,
+            now,
+        };
+        world.former.hold(&world.name, world.split, start, start);
+        world
+    }
+
+    fn hold(&mut self) {
+        let from = self.now.after(GRANT_GRACE);
+        self.successor.hold(&self.name, self.split, from, self.now);
+    }
+
+    /// Asks the former one, which goes by a list that was read at `own`.
+    fn ask(&mut self, own: Moment) -> Option<Remainder> {
+        let left = self
+            .former
+            .hand_over(&self.name, self.view, Some(own), self.now)?;
+        self.successor
+            .hold(&self.name, self.split, self.now, self.now);
+        self.successor.take_over(&self.name, left, self.now);
+        Some(left)
+    }
+
+    fn before(&self) -> Moment {
+        self.view.before(Duration::from_millis(1))
+    }
+}
+
+/// A vm stops as planned under load: what its account has left goes on.
+#[test]
+fn hand_over_moves_what_is_left_and_nothing_twice() {
+    let mut world = HandOver::new();
+    let early = world.now.before(Duration::from_millis(300));
+    assert_eq!(granted_at(&mut world.former, &world.name, early), 7);
+    world.hold();
+    assert_eq!(granted_at(&mut world.successor, &world.name, world.now), 0);
+    let left = world.ask(world.before()).expect("it hands over");
+    assert_eq!(left.amount, 3 * TOKEN);
+    assert_eq!(granted_at(&mut world.successor, &world.name, world.now), 3);
+    assert!(grants_nothing(&mut world.former, &world.name, world.now));
+    let again = world.ask(world.before()).expect("it holds nothing");
+    assert_eq!(
+        again,
+        Remainder::default(),
+        "an answer that was lost moves nothing twice"
+    );
+}
+
+/// The same, once the former one has dropped the account by itself.
+#[test]
+fn hand_over_of_a_dropped_account_moves_what_was_left() {
+    let mut world = HandOver::new();
+    world.former.retain(|_| false, world.now);
+    let later = world.now.after(Duration::from_secs(1));
+    world.now = later;
+    let left = world.ask(later).expect("it hands over");
+    assert_eq!(left.amount, 10 * TOKEN, "nothing accrues meanwhile");
+    world.former.retain(|_| false, world.now);
+}
+
+#[test]
+fn hand_over_moves_promises() {
+    let mut world = HandOver::new();
+    granted_at(&mut world.former, &world.name, world.now);
+    let wish = Wish {
+        amount: TOKEN,
+        waiting: true,
+        patience: Duration::from_millis(150),
+    };
+    let grant = world.former.grant(&world.name, wish, world.now);
+    assert!(
+        grant.is_some_and(|grant| !grant.after.is_zero()),
+        "{grant:?}"
+    );
+    let left = world.ask(world.before()).expect("it hands over");
+    assert_eq!((left.amount, left.promised), (0, 1));
+    let accrued = world.now.after(Duration::from_millis(150));
+    assert_eq!(
+        granted_at(&mut world.successor, &world.name, accrued),
+        0,
+        "it is owed"
+    );
+}
+
+/// Who asks by an old list is told no; by a younger one the former stays out until it has learnt of it.
+#[test]
+fn hand_over_follows_the_younger_list() {
+    let mut world = HandOver::new();
+    let younger = world.now.after(Duration::from_millis(1));
+    assert_eq!(world.ask(younger), None, "the former knows better");
+    assert!(!grants_nothing(&mut world.former, &world.name, world.now));
+    world.ask(world.before()).expect("it hands over");
+    let hold = |world: &mut HandOver| {
+        let name = world.name.clone();
+        world.former.hold(&name, world.split, world.now, world.now);
+        grants_nothing(&mut world.former, &name, world.now)
+    };
+    assert!(hold(&mut world), "it goes by its old list");
+    world.former.learn(world.before());
+    assert!(hold(&mut world), "it has read one of before");
+    world.former.learn(younger);
+    assert!(
+        !hold(&mut world),
+        "a list of after says that it is the authority"
+    );
+}
+
+/// Window after window, whoever grants: a fleet whose vms come and go hands the account on every second.
+#[test]
+fn hand_overs_keep_the_bound_of_the_rate() {
+    let name = AccountName::from("a");
+    let split = Split::new(account(10, 3), 1);
+    let mut now = Moment::from_boot(Duration::from_secs(100));
+    let mut present = Authority::default();
+    present.hold(&name, split, now, now);
+    let mut granted = Vec::new();
+    for _ in 0..12 {
+        granted.extend(granted_in(
+            &mut present,
+            &name,
+            now,
+            Duration::from_millis(997),
+        ));
+        now = now.after(Duration::from_millis(997));
+        let left = present.hand_over(&name, now, None, now);
+        present = Authority::default();
+        present.hold(&name, split, now, now);
+        present.take_over(&name, left.expect("it hands over"), now);
+    }
+    let most = granted.iter().enumerate().map(|(index, from)| {
+        let end = from.after(WINDOW);
+        granted[index..].iter().take_while(|at| **at < end).count()
+    });
+    assert!(
+        most.max().unwrap_or(0) <= 53,
+        "10 a second for 5 s and a burst of 3"
+    );
+    assert!(granted.len() >= 100, "{} of 119 in all", granted.len());
+}
+
+/// Tells whether a vm is not the authority of an account.
+fn grants_nothing(authority: &mut Authority, name: &AccountName, now: Moment) -> bool {
+    let wish = Wish {
+        amount: TOKEN,
+        waiting: false,
+        patience: Duration::ZERO,
+    };
+    authority.grant(name, wish, now).is_none()
+}
