Serve elsewhere at once what leaves nothing at a silent vm

Reads, and first statements of transactions, go to a stand-in then and are released at the silent vm; if no other serves them, its answer counts, also late. A write that stands alone is never started elsewhere; it is not sent to a silent vm either. What is moved has its remaining time.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -1,6 +1,7 @@
 //! Callers' side: sessions, admission of their operations, and the way to the pools.
 
 mod admission;
+mod doubts;
 mod listener;
 mod router;
 mod token_cache;
@@ -16,6 +17,7 @@
 pub use admission::Denial;
 pub use admission::current;
 pub use admission::look_up;
+pub use doubts::Doubts;
 pub use listener::serve;
 pub use router::Place;
 pub use router::Router;
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -1,49 +1,42 @@
-//! Which vm's pool serves a unit, and what happens when that vm cannot.
+//! Which vm's pool serves a unit, and what happens when that vm cannot, or does not answer.
+
+mod attempt;
+mod place;
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::GroupName;
 use mustardbay_policy::names::VmName;
 
 use crate::board::Board;
-use crate::clock::millis;
+use crate::clock::Moment;
+use crate::entry::Doubts;
+use crate::entry::router::attempt::Attempt;
+use crate::entry::router::attempt::Fallback;
+use crate::entry::router::attempt::NOWHERE_PAUSE_MS;
+use crate::entry::router::attempt::Word;
 use crate::fleet::Member;
 use crate::link::AskBody;
 use crate::link::Link;
-use crate::link::LinkError;
 use crate::link::Links;
-use crate::link::ReplyBody;
-use crate::link::frame::Continue;
-use crate::link::frame::Release;
+use crate::link::frame::Ping;
 use crate::pool::Cause;
 use crate::pool::Outcome;
 use crate::pool::Refusal;
-use crate::work::Answer;
-use crate::work::Code;
-use crate::work::Setting;
-use crate::work::Statement;
-use crate::work::TransactionState;
+use crate::sync::lock;
 use crate::work::Unit;
-use crate::work::Verb;
+
+pub use crate::entry::router::place::Place;
 
 /// Vms that are tried in turn: the home and two that stand in for it.
 const MAX_PLACES: usize = 3;
-/// Time beyond a statement's own for the way to another vm and back.
-const WAY: Duration = Duration::from_millis(150);
-/// Pause that a session is asked to make when no vm could take its unit.
-const NOWHERE_PAUSE_MS: u32 = 300;
-
-/// Where a transaction runs.
-#[derive(Debug, Clone)]
-pub struct Place {
-    /// Vm whose pool holds the connection.
-    pub vm: VmName,
-    /// Group that serves it.
-    pub group: GroupName,
-    link: Arc<Link>,
-    number: u64,
-}
+/// Longest wait for the answer to a ping from a vm of a domain in doubt: several round trips in a region.
+const HASTE: Duration = Duration::from_millis(40);
 
 /// Way from sessions to the pools of the fleet.
 #[derive(Debug)]
@@ -51,150 +44,151 @@
     me: VmName,
     board: Arc<Board>,
     links: Arc<Links>,
-}
-
-/// What became of a unit at one vm.
-enum Attempt {
-    /// It has its outcome.
-    Final(Outcome),
-    /// It did not run, or left nothing; another vm may run it.
-    Elsewhere(Refusal),
+    doubts: Mutex<Doubts>,
 }
 
 impl Router {
     /// Creates the way of a vm to all pools.
     #[must_use]
     pub fn new(me: VmName, board: Arc<Board>, links: Arc<Links>) -> Self {
-        Self { me, board, links }
+        Self {
+            me,
+            board,
+            links,
+            doubts: Mutex::default(),
+        }
     }
 
     /// Runs a unit at the first vm that can, and returns where.
+    ///
+    /// A vm that falls silent may only be slow: others are tried meanwhile with what leaves nothing there,
+    /// and its answer counts if no other vm has one.
     pub async fn run(&self, unit: Unit) -> (Outcome, Option<Place>) {
+        let began = Moment::now();
         let group = GroupName::from(unit.group.as_str());
         let mut last = Refusal::new(Cause::Unreachable, NOWHERE_PAUSE_MS);
+        let mut unanswered: Vec<Attempt> = Vec::new();
         for member in self.places(&group) {
-            let Some(link) = self.links.to(&member.vm, member.address).await else {
+            let unit = unit.later_by(Moment::now().since(began));
+            let Some(link) = self.link_for(&member, &unit).await else {
                 tracing::info!(event = "vm_unreachable", request = %unit.statement.id, vm = %member.vm);
                 continue;
             };
-            let number = link.number();
-            let attempt = attempt(&link, number, &unit).await;
-            match attempt {
-                Attempt::Final(outcome) => {
-                    let place = Place {
-                        vm: member.vm,
-                        group,
-                        link,
-                        number,
-                    };
-                    return (outcome, Some(place));
+            let request = unit.statement.id.clone();
+            let mut attempt = start(link, &member, group.clone(), unit);
+            match self.first_word(&mut attempt).await {
+                Word::Final(outcome) => {
+                    for other in &unanswered {
+                        other.place.release();
+                    }
+                    return (outcome, Some(attempt.place));
                 }
-                Attempt::Elsewhere(refusal) => {
-                    tracing::info!(event = "unit_moved", request = %unit.statement.id, vm = %member.vm,
+                Word::Elsewhere(refusal) => {
+                    tracing::info!(event = "unit_moved", request, vm = %member.vm,
                         cause = refusal.cause().name());
                     last = refusal;
                 }
+                Word::Silent => {
+                    tracing::info!(event = "vm_silent", request, vm = %member.vm);
+                    unanswered.push(attempt);
+                }
             }
         }
-        (Outcome::Refused(last), None)
+        match first_outcome(unanswered).await {
+            Some((outcome, place)) => (outcome, Some(place)),
+            None => (Outcome::Refused(last), None),
+        }
     }
 
-    /// Returns the vms that may serve a group, in the order in which they are tried.
+    /// Returns the vms that may serve a group, in the order in which they are tried: silent ones last.
     fn places(&self, group: &GroupName) -> Vec<Member> {
         let Some(assignment) = self.board.assignment() else {
             return Vec::new();
         };
         let mut places = assignment.ranking(group).places(&self.me);
         places.truncate(MAX_PLACES);
+        places.sort_by_key(|member| self.links.is_silent(&member.vm));
         places
     }
-}
 
-async fn attempt(link: &Link, number: u64, unit: &Unit) -> Attempt {
-    let call = link.call(number, AskBody::Offer(unit.clone()));
-    let reply = match tokio::time::timeout(unit.left() + WAY, call).await {
-        Ok(reply) => reply,
-        Err(tokio::time::error::Elapsed { .. }) => Err(LinkError::Lost),
-    };
-    match reply {
-        Ok(ReplyBody::Answer(answer)) => Attempt::Final(Outcome::Answered(answer)),
-        Ok(ReplyBody::Refused(refusal)) => match refusal.cause() {
-            Cause::Draining | Cause::NoPrimary | Cause::NoUpstream | Cause::Unreachable => {
-                Attempt::Elsewhere(refusal)
-            }
-            Cause::Overloaded | Cause::Expired | Cause::RateSpent | Cause::NotCurrent => {
-                Attempt::Final(Outcome::Refused(refusal))
+    /// Returns the link to a vm; nothing if it cannot be reached, or is likely to be cut off.
+    async fn link_for(&self, member: &Member, unit: &Unit) -> Option<Arc<Link>> {
+        let doubted = self.is_doubted(&member.domain);
+        if doubted && !self.links.is_open(&member.vm) {
+            return None;
+        }
+        let link = self.links.to(&member.vm, member.address).await?;
+        let lasts = Fallback::of(unit) == Fallback::InDoubt;
+        if doubted && lasts && !answers(&link).await {
+            return None;
+        }
+        Some(link)
+    }
+
+    /// Waits for the reply, or until the vm counts as silent, if the unit may then run elsewhere.
+    async fn first_word(&self, attempt: &mut Attempt) -> Word {
+        let link = Arc::clone(&attempt.place.link);
+        let domain = attempt.domain.clone();
+        let may_move = attempt.fallback == Fallback::Elsewhere;
+        tokio::select! {
+            word = attempt.reply() => {
+                if matches!(word, Word::Final(_)) {
+                    lock(&self.doubts).on_answer(&domain);
+                }
+                word
             }
-        },
-        Ok(_) | Err(LinkError::Lost) => {
-            release(link, number, &unit.group);
-            lost(unit)
+            () = self.until_silent(&link, &domain), if may_move => Word::Silent,
         }
-        Err(LinkError::NotSent) => {
-            Attempt::Elsewhere(Refusal::new(Cause::Unreachable, NOWHERE_PAUSE_MS))
+    }
+
+    /// Waits until a vm counts as silent; in a domain in doubt, one that does not answer a ping at once.
+    async fn until_silent(&self, link: &Link, domain: &DomainName) {
+        if self.is_doubted(domain) && !answers(link).await {
+            return;
         }
+        link.until_silent().await;
+        lock(&self.doubts).on_silence(domain, Moment::now());
     }
-}
 
-/// Decides what a lost reply means for a unit.
-///
-/// A vm that loses a link rolls back what came by it, so only a write that stood alone may last.
-fn lost(unit: &Unit) -> Attempt {
-    let lasting = unit.begin.is_none() && unit.statement.verb() == Verb::Write;
-    if lasting {
-        return Attempt::Final(Outcome::in_doubt("the vm that ran the statement was lost"));
+    fn is_doubted(&self, domain: &DomainName) -> bool {
+        lock(&self.doubts).holds(domain, Moment::now())
     }
-    Attempt::Elsewhere(Refusal::new(Cause::Unreachable, NOWHERE_PAUSE_MS))
 }
 
-fn release(link: &Link, number: u64, group: &str) {
-    let release = Release {
-        group: group.to_owned(),
-        unit: number,
+fn start(link: Arc<Link>, member: &Member, group: GroupName, unit: Unit) -> Attempt {
+    let place = Place {
+        vm: member.vm.clone(),
+        group,
+        number: link.number(),
+        link,
     };
-    link.tell(number, AskBody::Release(release));
+    Attempt::start(place, member.domain.clone(), unit)
 }
 
-impl Place {
-    /// Runs the next statement of the transaction.
-    pub async fn resume(
-        &self,
-        statement: Statement,
-        settings: Vec<Setting>,
-        left: Duration,
-        wrote: bool,
-    ) -> Outcome {
-        let commits = statement.verb() == Verb::Commit && wrote;
-        let next = Continue {
-            group: self.group.as_str().to_owned(),
-            unit: self.number,
-            statement,
-            settings,
-            left_ms: millis(left),
-        };
-        let call = self.link.call(self.number, AskBody::Continue(next));
-        let reply = match tokio::time::timeout(left + WAY, call).await {
-            Ok(reply) => reply,
-            Err(tokio::time::error::Elapsed { .. }) => Err(LinkError::Lost),
-        };
-        match reply {
-            Ok(ReplyBody::Answer(answer)) => Outcome::Answered(answer),
-            Ok(ReplyBody::Refused(refusal)) => Outcome::Answered(aborted(&refusal.text())),
-            Ok(_) | Err(LinkError::Lost) if commits => {
-                Outcome::in_doubt("the vm that ran the commit was lost")
-            }
-            Ok(_) | Err(LinkError::Lost | LinkError::NotSent) => {
-                Outcome::Answered(aborted("the vm was lost"))
+/// Tells whether a vm answers a ping at once.
+async fn answers(link: &Link) -> bool {
+    let ping = link.call(link.number(), AskBody::Ping(Ping { number: 0 }));
+    let answer = tokio::time::timeout(HASTE, ping).await;
+    matches!(answer, Ok(Ok(_)))
+}
+
+/// Waits for the first of some attempts that ends with an outcome; the others are released.
+async fn first_outcome(attempts: Vec<Attempt>) -> Option<(Outcome, Place)> {
+    let places: Vec<Place> = attempts
+        .iter()
+        .map(|attempt| attempt.place.clone())
+        .collect();
+    let mut words: FuturesUnordered<_> = attempts
+        .into_iter()
+        .map(|mut attempt| async move { (attempt.reply().await, attempt.place) })
+        .collect();
+    while let Some((word, place)) = words.next().await {
+        if let Word::Final(outcome) = word {
+            for other in places.iter().filter(|other| other.vm != place.vm) {
+                other.release();
             }
+            return Some((outcome, place));
         }
     }
-
-    /// Ends the transaction and keeps nothing.
-    pub fn release(&self) {
-        release(&self.link, self.number, self.group.as_str());
-    }
-}
-
-fn aborted(text: &str) -> Answer {
-    Answer::failed(Code::Aborted, text, TransactionState::Failed)
+    None
 }
--- a/crates/proxy/src/work/unit.rs
+++ b/crates/proxy/src/work/unit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::clock::millis;
 use crate::work::Class;
 use crate::work::Guarantee;
 use crate::work::LogPosition;
@@ -79,6 +80,17 @@
         self.begin.is_none() && self.statement.verb() == Verb::Read
     }
 
+    /// Returns the unit as it is after a time in which it did not run.
+    #[must_use]
+    pub fn later_by(&self, time: Duration) -> Self {
+        let passed = millis(time);
+        Self {
+            left_ms: self.left_ms.saturating_sub(passed),
+            objective_ms: self.objective_ms.saturating_sub(passed),
+            ..self.clone()
+        }
+    }
+
     /// Returns the latency objective that is left.
     #[must_use]
     pub fn objective(&self) -> Duration {
