Refuse at once what cannot be on time, and keep the queue short

Cause: a unit was taken in if its wait was below its whole time limit (800 ms), though it had to start within 150 ms or so; it was held to its due moment and refused then, or held until its caller gave up.

Change: a unit whose wait exceeds a third of the time in which it must start is refused when it comes, and told to come back when the queue has that length again, after 50 ms at least. The queue of on-time units stays short for the others.

Tests: flood_is_refused_at_once, which fails on the code before (1,272 of 1,740 refusals came late); the replays before hold.

--- a/crates/proxy/src/pool/offer.rs
+++ b/crates/proxy/src/pool/offer.rs
@@ -24,6 +24,9 @@
 
 /// Pause that a refused session is asked to make at least.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(50);
+/// Part of the time that a unit has until it must start, as a divisor, for which it may have to wait: means
+/// hide that some of those before it take long.
+const QUEUE_PART: u32 = 3;
 /// Pause that a session is asked to make while a group has no primary: most of a promotion.
 const PROMOTION_PAUSE: Duration = Duration::from_millis(700);
 
@@ -160,8 +163,20 @@
             return Some(Refusal::new(Cause::NoUpstream, millis(PROMOTION_PAUSE)));
         }
         let wait = self.service * self.ahead(room, rank, now) / room.slots;
+        let longest = self.longest_wait(unit);
+        (wait > longest).then(|| {
+            // By then the queue is as short as it must be.
+            let pause = wait.saturating_sub(longest).max(SHORTEST_PAUSE);
+            Refusal::new(Cause::Overloaded, millis(pause))
+        })
+    }
+
+    /// Returns the wait up to which a unit is taken in: with a longer one it would hardly be on time, or would
+    /// stand in the way of others that can be.
+    fn longest_wait(&self, unit: &Unit) -> Duration {
+        let spare = unit.objective().saturating_sub(self.time_to_answer());
         let left = unit.left().saturating_sub(self.service);
-        (wait > left).then(|| Refusal::new(Cause::Overloaded, millis(wait.max(SHORTEST_PAUSE))))
+        left.min(spare / QUEUE_PART)
     }
 
     /// Tells whether the believed primary can be reached, as far as is known.
--- a/crates/proxy/tests/pool/load.rs
+++ b/crates/proxy/tests/pool/load.rs
@@ -11,6 +11,9 @@
 use crate::bed::bounded_read;
 use crate::bed::single;
 
+/// Time within which a refusal comes at once.
+const AT_ONCE: Duration = Duration::from_millis(5);
+
 /// What became of the units of a replay.
 #[derive(Debug, Default)]
 struct Tally {
@@ -19,6 +22,8 @@
     refused: u32,
     /// Longest time from arrival to refusal.
     held: Duration,
+    /// Units that were refused after they had waited.
+    refused_late: u32,
 }
 
 /// Offers `count` units at equal distances over `time` and tells what became of them.
@@ -41,6 +46,7 @@
             Outcome::Refused(_) => {
                 tally.refused += 1;
                 tally.held = tally.held.max(took);
+                tally.refused_late += u32::from(took > AT_ONCE);
             }
             Outcome::Answered(answer) => {
                 assert_eq!(answer.failure(), None);
@@ -70,6 +76,19 @@
     assert!(tally.held <= Duration::from_millis(450), "{tally:?}");
 }
 
+/// Load of a burst that goes on: writes at four times what three slots can serve, for 4 s.
+///
+/// What cannot be on time is told so when it comes, not when its time has passed.
+#[test]
+fn flood_is_refused_at_once() {
+    let mut bed = Bed::new(14);
+    let tally = replay(&mut bed, Duration::from_secs(4), 2_400, |n| {
+        single(Verb::Write, &format!("w{n}"))
+    });
+    assert!(tally.on_time >= 480, "{tally:?}");
+    assert!(tally.refused_late * 20 <= tally.refused, "{tally:?}");
+}
+
 /// Load of a calm minute: reads at half of what the replicas can serve.
 #[test]
 fn calm_reads_are_all_on_time_on_few_connections() {
