Bound what a message of another vm may ask, and keep what was handed over

Cause, found on reading the change again: a message with an absurd number of promises would have grown a list without bound, and one with an absurd patience kept a task for weeks; tokens of one predecessor were lost when the last of several stopped; a caller that is told to go elsewhere was told to wait a second.

Change: promises are cut to a burst, the wait for a first survey to a second, a bucket that begins earlier keeps what it took over, and a vm without any configuration names 50 ms.

--- a/crates/proxy/src/entry/admission.rs
+++ b/crates/proxy/src/entry/admission.rs
@@ -17,6 +17,8 @@
 
 /// Pause that a session is asked to make while the configuration cannot be confirmed.
 const NOT_CURRENT_PAUSE_MS: u32 = 1_000;
+/// Pause before a caller goes to another vm, since this one has no configuration yet.
+const STARTING_PAUSE_MS: u32 = 50;
 /// Account that upstreams are told for callers without one, on routes open to all.
 pub const NO_ACCOUNT: &str = "public";
 
@@ -66,7 +68,9 @@
         match self {
             Self::RouteUnknown => "no such route".to_owned(),
             Self::KeyRefused => "key refused".to_owned(),
-            Self::NotCurrent(_) => Refusal::new(Cause::NotCurrent, NOT_CURRENT_PAUSE_MS).text(),
+            Self::NotCurrent(age) => {
+                Refusal::new(Cause::NotCurrent, not_current_pause(*age)).text()
+            }
             Self::RateSpent { retry_ms, .. } => Refusal::new(Cause::RateSpent, *retry_ms).text(),
         }
     }
@@ -85,7 +89,7 @@
     pub fn retry_ms(&self) -> Option<u32> {
         match self {
             Self::RateSpent { retry_ms, .. } => Some(*retry_ms),
-            Self::NotCurrent(_) => Some(NOT_CURRENT_PAUSE_MS),
+            Self::NotCurrent(age) => Some(not_current_pause(*age)),
             Self::RouteUnknown | Self::KeyRefused => None,
         }
     }
@@ -102,6 +106,13 @@
     }
 }
 
+fn not_current_pause(age: Option<Duration>) -> u32 {
+    match age {
+        Some(_) => NOT_CURRENT_PAUSE_MS,
+        None => STARTING_PAUSE_MS,
+    }
+}
+
 /// Returns the belief, if it is young enough to act on.
 ///
 /// # Errors
--- a/crates/proxy/src/link_handler.rs
+++ b/crates/proxy/src/link_handler.rs
@@ -39,6 +39,8 @@
 
 /// Longest wait for an upstream that another vm asks about.
 const REACH_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest wait for a first survey that another vm asks for.
+const FIRST_SURVEY_WAIT: Duration = Duration::from_secs(1);
 /// Pause that a session is asked to make when this vm does not know its group.
 const UNKNOWN_GROUP_PAUSE_MS: u32 = 200;
 
@@ -260,6 +262,7 @@
         let handler = Arc::clone(self);
         tokio::spawn(async move {
             let patience = Duration::from_millis(ask.patience_ms.into());
+            let patience = patience.min(FIRST_SURVEY_WAIT);
             let first = handler.board.wait_for_belief(Duration::MAX, patience);
             if first.await.is_none() {
                 tracing::debug!(event = "no_survey_to_show", link, number);
--- a/crates/proxy/src/rates/authority.rs
+++ b/crates/proxy/src/rates/authority.rs
@@ -102,7 +102,9 @@
     /// Lets tokens accrue from an earlier moment than was set, if it has not passed.
     fn begin(&mut self, from: Moment, now: Moment) {
         if self.from > now && from < self.from {
+            let taken_over = self.remainder();
             *self = Self::new(self.split, from.max(now));
+            self.take_over(taken_over, now);
         }
     }
 
@@ -145,7 +147,10 @@
     fn take_over(&mut self, remainder: Remainder, now: Moment) {
         self.advance(now);
         self.bucket.add(remainder.amount);
-        self.promised.extend((0..remainder.promised).map(|_| now));
+        // Nobody owes more than a burst; a message that says so is not to be believed.
+        let most = u32::try_from(self.split.granted_burst / TOKEN).unwrap_or(u32::MAX);
+        let promised = remainder.promised.min(most);
+        self.promised.extend((0..promised).map(|_| now));
         self.keep_promises(now);
     }
 
