Align a steward's monitors with the first view, whenever it came into force

The monitors' actor took the board's view at its start as the one that it was aligned with; where it started after bundle and members had come into force, nothing was different ever after: no monitors, no groups in the view, every statement refused.

Change: no view counts as taken before the first one was (groups::Alignment, apart from the actor).

--- a/crates/steward/src/groups.rs
+++ b/crates/steward/src/groups.rs
@@ -1,5 +1,6 @@
 //! Actor around the monitors of the groups: it carries out their decisions.
 
+mod alignment;
 mod effects;
 mod history;
 
@@ -24,7 +25,6 @@
 use mustardbay_policy::names::GroupName;
 use mustardbay_policy::names::VmName;
 use mustardbay_policy::position::Term;
-use mustardbay_policy::view::View;
 use mustardbay_wire::AskOpinion;
 use mustardbay_wire::peer_message::Body;
 
@@ -35,6 +35,7 @@
 use crate::records;
 use crate::records::Records;
 use crate::stats::Stats;
+pub use alignment::Alignment;
 pub(crate) use effects::Effects;
 pub(crate) use effects::RECORD_PREFIX;
 pub(crate) use effects::parse_record;
@@ -52,8 +53,7 @@
     history: History,
     stats: Arc<Stats>,
     monitors: BTreeMap<GroupName, Monitor>,
-    /// View that the monitors were last aligned with.
-    aligned: Arc<View>,
+    alignment: Alignment,
     on_duty: Vec<GroupName>,
     itself: ActorRef<Self>,
 }
@@ -77,7 +77,7 @@
         Ok(Self {
             me: args.me,
             start: Instant::now(),
-            aligned: args.board.view(),
+            alignment: Alignment::default(),
             on_duty: Vec::new(),
             board: args.board,
             effects: args.effects,
@@ -99,12 +99,9 @@
     /// Aligns the monitors with the bundle and the live virtual machines.
     fn align(&mut self) {
         let view = self.board.view();
-        let unchanged =
-            Arc::ptr_eq(&view.bundle, &self.aligned.bundle) && view.vms == self.aligned.vms;
-        if unchanged {
+        if !self.alignment.takes(&view) {
             return;
         }
-        self.aligned = Arc::clone(&view);
         self.on_duty.clear();
         let now = self.now();
         let roster = Roster::new(&view.vms);
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -22,6 +22,7 @@
 pub use board::Board;
 pub use command_line::PROGRAM;
 pub use command_line::run;
+pub use groups::Alignment;
 pub use rates::LinkId;
 pub use rates::PlatformCall;
 pub use rates::Rates;
