--- a/crates/proxy/tests/rates.rs
+++ b/crates/proxy/tests/rates.rs
@@ -2,19 +2,17 @@
 
 #[path = "rates/hand_over.rs"]
 mod hand_over;
+#[path = "rates/start.rs"]
+mod start;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
-use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::VmName;
 use mustardbay_proxy::clock::Moment;
 use mustardbay_proxy::configuration::Account;
-use mustardbay_proxy::fleet::Incarnation;
-use mustardbay_proxy::fleet::Member;
 use mustardbay_proxy::platform::LeaseId;
 use mustardbay_proxy::rates::Authority;
 use mustardbay_proxy::rates::Exhausted;
@@ -330,6 +328,15 @@
     granted
 }
 
+/// Returns the most tokens that were granted in any window, of moments in order.
+fn most_in_a_window(granted: &[Moment]) -> usize {
+    let counts = granted.iter().enumerate().map(|(index, from)| {
+        let end = from.after(WINDOW);
+        granted[index..].iter().take_while(|at| **at < end).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
 /// An authority that is cut off goes on past its lease; who takes its place must not grant beside it.
 #[test]
 fn successor_of_a_silent_authority_keeps_the_bound() {
@@ -354,12 +361,8 @@
     );
     granted.extend(granted_in(&mut successor, &name, lease_end, WINDOW));
     granted.sort();
-    let most = granted.iter().enumerate().map(|(index, from)| {
-        let end = from.after(WINDOW);
-        granted[index..].iter().take_while(|at| **at < end).count()
-    });
     assert!(
-        most.max().unwrap_or(0) <= 53,
+        most_in_a_window(&granted) <= 53,
         "10 a second for 5 s and a burst of 3"
     );
 }
@@ -418,62 +421,6 @@
     );
 }
 
-fn members(names: &[&str]) -> Arc<Vec<Member>> {
-    let member = |name: &&str| Member {
-        vm: VmName::from(*name),
-        address: ([127, 0, 0, 1], 1).into(),
-        domain: DomainName::from("d"),
-        incarnation: Incarnation(1),
-        weight: 100,
-    };
-    Arc::new(names.iter().map(member).collect())
-}
-
-/// All vms lose power and start again: nobody has granted anything since the processes before ended.
-#[test_case(&["vm1", "vm2"], true; "same_vms")]
-#[test_case(&["vm1"], false; "one_has_left")]
-#[test_case(&["vm1", "vm2", "vm3"], false; "one_has_come")]
-fn kept_place_holds_while_the_members_are_the_same(now: &[&str], kept: bool) {
-    let lease = VmLease::default();
-    let started = Moment::from_boot(Duration::from_secs(100));
-    assert_eq!(lease.kept_since(&members(now)), None);
-    lease.keep_place(started, members(&["vm1", "vm2"]));
-    assert_eq!(lease.kept_since(&members(now)), kept.then_some(started));
-}
-
-#[test]
-fn authority_that_kept_its_place_has_what_accrued_since_its_start() {
-    let name = AccountName::from("a");
-    let split = Split::new(account(10, 10), 1);
-    let started = Moment::from_boot(Duration::from_secs(100));
-    let now = started.after(Duration::from_millis(700));
-    let mut authority = Authority::default();
-    authority.hold(&name, split, started, now);
-    assert_eq!(
-        granted_at(&mut authority, &name, now),
-        7,
-        "no burst of before"
-    );
-}
-
-/// The lease ended and came back: others may have granted meanwhile.
-#[test]
-fn authority_that_begins_again_has_nothing() {
-    let name = AccountName::from("a");
-    let split = Split::new(account(10, 10), 1);
-    let now = Moment::from_boot(Duration::from_secs(100));
-    let mut holdings = Holdings::default();
-    let granted = BTreeMap::from([(name.clone(), split)]);
-    holdings.assign(granted, |_, _| BTreeSet::new(), now);
-    let later = now.after(Duration::from_secs(5));
-    holdings.begin_again(later);
-    let mut authority = Authority::default();
-    for (account, held) in holdings.iter() {
-        authority.hold(account, held.split, held.from, later);
-    }
-    assert_eq!(granted_at(&mut authority, &name, later), 0);
-}
-
 /// Returns the whole tokens that an authority grants at once.
 fn granted_at(authority: &mut Authority, name: &AccountName, now: Moment) -> u64 {
     let wish = Wish {
--- a/crates/proxy/tests/rates/hand_over.rs
+++ b/crates/proxy/tests/rates/hand_over.rs
@@ -11,10 +11,10 @@
 use mustardbay_proxy::rates::Wish;
 
 use crate::TOKEN;
-use crate::WINDOW;
 use crate::account;
 use crate::granted_at;
 use crate::granted_in;
+use crate::most_in_a_window;
 
 /// Two vms of which the second takes an account over from the first, a second after both began.
 struct HandOver {
@@ -165,12 +165,8 @@
         present.hold(&name, split, now, now);
         present.take_over(&name, left.expect("it hands over"), now);
     }
-    let most = granted.iter().enumerate().map(|(index, from)| {
-        let end = from.after(WINDOW);
-        granted[index..].iter().take_while(|at| **at < end).count()
-    });
     assert!(
-        most.max().unwrap_or(0) <= 53,
+        most_in_a_window(&granted) <= 53,
         "10 a second for 5 s and a burst of 3"
     );
     assert!(granted.len() >= 100, "{} of 119 in all", granted.len());
