Count rates in the operators' window, and say truly when a token comes

But operators count rate and burst anew in each window, and the bucket gives the burst once. Cause 2: an authority that owed as much as its burst holds answered that it would never have a token: its vm left it alone for a second, and the caller was told to come back after 4,294,967,295 ms. Cause 3: requests that need a link which another request is opening were refused at once, for rates with retry 200 ms.

Change: a part keeps a ledger of its last window (110 entries at most). What the window has room for beyond the bucket comes back, at no more than half the burst in a window, once the window's past is known; no grant exceeds the window. Half, because a successor knows nothing of that past: with a restart in a flood at any moment a window is exceeded by less than a tenth (tested). A changed rate begins a window anew. A promise beyond the burst has its true time. A link that opens is waited for, 60 ms at most. The window's length is a setting, bounds.rate_window_ms, from the platform's file.

Tests: rates/window (flood, changing demand at six seeds, restart, owed burst, lowered rate).

--- a/crates/policy/src/account/bucket.rs
+++ b/crates/policy/src/account/bucket.rs
@@ -113,11 +113,21 @@
     /// Returns the time until the bucket holds an amount; `None` if it never will.
     #[must_use]
     pub fn time_until(&self, amount: u64) -> Option<Duration> {
+        let held = amount <= self.tokens;
+        if !held && amount > self.burst {
+            return None;
+        }
+        self.time_to_accrue(amount)
+    }
+
+    /// Returns the time until an amount has accrued, of which some may be taken meanwhile; `None` if it never has.
+    #[must_use]
+    pub fn time_to_accrue(&self, amount: u64) -> Option<Duration> {
         let missing = amount.saturating_sub(self.tokens);
         if missing == 0 {
             return Some(Duration::ZERO);
         }
-        if amount > self.burst || self.rate == 0 {
+        if self.rate == 0 {
             return None;
         }
         let nanos = (u128::from(missing) * NANOS).div_ceil(self.rate.into());
--- a/crates/proxy/src/link/client.rs
+++ b/crates/proxy/src/link/client.rs
@@ -40,6 +40,8 @@
 const SILENCE: Duration = Duration::from_millis(400);
 /// Silence of a link with nothing asked after which it is pinged.
 const QUIET: Duration = Duration::from_secs(2);
+/// Longest wait for a link that another request opens: a round trip between regions.
+const OPENING_WAIT: Duration = Duration::from_millis(60);
 /// Time after a failure during which no new link to the same vm is waited for.
 const DOWN: Duration = Duration::from_millis(500);
 /// The same after the vm refused: it costs no wait, and a process that starts listens in a moment.
@@ -182,6 +184,8 @@
 #[derive(Debug, Clone)]
 enum Entry {
     Open(SocketAddr, Arc<Link>),
+    /// It is being opened; the channel closes when that has ended.
+    Opening(SocketAddr, watch::Receiver<()>),
     /// Not to be tried before a moment.
     Down(SocketAddr, Instant),
 }
@@ -215,7 +219,7 @@
     pub fn is_open(&self, vm: &VmName) -> bool {
         match lock(&self.others).get(vm) {
             Some(Entry::Open(_, link)) => link.is_alive() && !link.is_silent(),
-            Some(Entry::Down(..)) | None => *vm == self.me,
+            Some(Entry::Opening(..) | Entry::Down(..)) | None => *vm == self.me,
         }
     }
 
@@ -224,16 +228,41 @@
         if *vm == self.me {
             return Some(self.own());
         }
-        let known = lock(&self.others).get(vm).cloned();
-        match known {
-            Some(Entry::Open(at, link)) if at == address && link.is_alive() => return Some(link),
-            Some(Entry::Down(at, until)) if at == address && Instant::now() < until => {
-                return None;
+        if let Some(opened) = self.being_opened(vm, address) {
+            wait_until_closed(opened).await;
+        }
+        let opening = {
+            let mut others = lock(&self.others);
+            match others.get(vm) {
+                Some(Entry::Open(at, link)) if *at == address && link.is_alive() => {
+                    return Some(Arc::clone(link));
+                }
+                Some(Entry::Down(at, until)) if *at == address && Instant::now() < *until => {
+                    return None;
+                }
+                Some(Entry::Opening(at, opened)) if *at == address && is_open(opened) => {
+                    return None;
+                }
+                _ => {}
             }
-            _ => {}
+            let (opening, opened) = watch::channel(());
+            others.insert(vm.clone(), Entry::Opening(address, opened));
+            opening
+        };
+        let link = self.open(vm, address).await;
+        drop(opening);
+        link
+    }
+
+    /// Returns the channel that closes when the link to a vm has been opened, if another request opens it.
+    fn being_opened(&self, vm: &VmName, address: SocketAddr) -> Option<watch::Receiver<()>> {
+        match lock(&self.others).get(vm) {
+            Some(Entry::Opening(at, opened)) if *at == address => Some(opened.clone()),
+            _ => None,
         }
-        // Others that ask meanwhile do not wait for the same attempt.
-        self.note(vm, Entry::Down(address, Instant::now() + CONNECT_TIMEOUT));
+    }
+
+    async fn open(&self, vm: &VmName, address: SocketAddr) -> Option<Arc<Link>> {
         match connect(address).await {
             Ok(link) => {
                 tracing::info!(event = "link_open", vm = %vm);
@@ -257,6 +286,20 @@
     }
 }
 
+/// Waits until whoever opens a link has ended, for a moment at most.
+async fn wait_until_closed(mut opened: watch::Receiver<()>) {
+    // Nothing is ever sent: the wait ends with the channel, or with the time.
+    let ended = tokio::time::timeout(OPENING_WAIT, opened.changed()).await;
+    if ended.is_err() {
+        tracing::debug!(event = "link_opens_slowly");
+    }
+}
+
+/// Tells whether a link is still being opened; the request that did so may have been given up.
+fn is_open(opened: &watch::Receiver<()>) -> bool {
+    opened.has_changed().is_ok()
+}
+
 async fn connect(address: SocketAddr) -> std::io::Result<Arc<Link>> {
     let stream = socket::connect(address, CONNECT_TIMEOUT).await?;
     let (link, asks) = Link::new();
--- a/crates/proxy/src/link_handler.rs
+++ b/crates/proxy/src/link_handler.rs
@@ -58,15 +58,15 @@
 }
 
 impl LinkHandler {
-    /// Creates a handler without pools.
+    /// Creates a handler without pools; `rate_window` is the one in which the operators count a rate.
     #[must_use]
-    pub fn new(board: Arc<Board>) -> Self {
+    pub fn new(board: Arc<Board>, rate_window: Duration) -> Self {
         Self {
             board,
             pools: Mutex::default(),
             links: Mutex::default(),
             next_link: AtomicU64::new(1),
-            authority: Mutex::default(),
+            authority: Mutex::new(Authority::new(rate_window)),
         }
     }
 
--- a/crates/proxy/src/rates.rs
+++ b/crates/proxy/src/rates.rs
@@ -10,7 +10,9 @@
 mod authority;
 mod exhausted;
 mod holdings;
+mod ledger;
 mod local_tokens;
+mod part;
 mod remainder;
 mod split;
 
--- a/crates/proxy/src/rates/authority.rs
+++ b/crates/proxy/src/rates/authority.rs
@@ -1,17 +1,15 @@
 //! The vm that grants the shared part of an account's rate.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use mustardbay_policy::account::Bucket;
 use mustardbay_policy::account::TOKEN;
 use mustardbay_policy::names::AccountName;
 
 use crate::clock::Moment;
-use crate::rates::GRANT_TERM;
 use crate::rates::Remainder;
 use crate::rates::Split;
+use crate::rates::part::Part;
 
 /// Time for which what is left of a part is kept for a successor that asks for it.
 const RETIRED_TERM: Duration = Duration::from_secs(5);
@@ -28,7 +26,7 @@
 }
 
 impl Grant {
-    fn now(amount: u64) -> Self {
+    pub(super) fn now(amount: u64) -> Self {
         Self {
             amount,
             after: Duration::ZERO,
@@ -36,7 +34,7 @@
         }
     }
 
-    fn promise(after: Duration) -> Self {
+    pub(super) fn promise(after: Duration) -> Self {
         Self {
             amount: TOKEN,
             after,
@@ -44,7 +42,7 @@
         }
     }
 
-    fn none(retry: Duration) -> Self {
+    pub(super) fn none(retry: Duration) -> Self {
         Self {
             amount: 0,
             after: Duration::ZERO,
@@ -64,113 +62,6 @@
     pub patience: Duration,
 }
 
-/// Part of an account's rate that one authority grants.
-#[derive(Debug)]
-struct Part {
-    bucket: Bucket,
-    split: Split,
-    /// Amounts that were granted ahead of their use, with the moment at which each lapses.
-    ahead: VecDeque<(Moment, u64)>,
-    /// Moments at which tokens that were promised accrue; each is taken from the bucket then.
-    promised: VecDeque<Moment>,
-    /// Moment from which tokens accrue.
-    from: Moment,
-}
-
-impl Part {
-    fn new(split: Split, from: Moment) -> Self {
-        let start = from.since_boot();
-        Self {
-            bucket: Bucket::empty(split.granted_rate, split.granted_burst, start),
-            split,
-            from,
-            ahead: VecDeque::new(),
-            promised: VecDeque::new(),
-        }
-    }
-
-    /// Lets tokens accrue, up to the burst less what other vms may still spend.
-    fn advance(&mut self, now: Moment) {
-        self.ahead.retain(|(lapses, _)| *lapses > now);
-        let ahead: u64 = self.ahead.iter().map(|(_, amount)| amount).sum();
-        self.bucket.advance(now.since_boot());
-        let room = self.split.granted_burst.saturating_sub(ahead).max(TOKEN);
-        self.bucket.resize(self.split.granted_rate, room);
-        self.keep_promises(now);
-    }
-
-    /// Lets tokens accrue from an earlier moment than was set, if it has not passed.
-    fn begin(&mut self, from: Moment, now: Moment) {
-        if self.from > now && from < self.from {
-            let taken_over = self.remainder();
-            *self = Self::new(self.split, from.max(now));
-            self.take_over(taken_over, now);
-        }
-    }
-
-    /// Takes tokens whose time has come; one that a lowered rate delays stays promised.
-    fn keep_promises(&mut self, now: Moment) {
-        while self.promised.front().is_some_and(|due| *due <= now) && self.bucket.take(TOKEN) {
-            self.promised.pop_front();
-        }
-    }
-
-    fn grant(&mut self, wish: Wish, now: Moment) -> Grant {
-        let owed = self.owed();
-        let free = self.bucket.tokens().saturating_sub(owed);
-        let amount = wish.amount.min(free / TOKEN * TOKEN);
-        if amount == 0 || !self.bucket.take(amount) {
-            return self.promise(wish, now);
-        }
-        let spent = if wish.waiting { TOKEN } else { 0 };
-        let ahead = amount.saturating_sub(spent);
-        if ahead > 0 {
-            self.ahead.push_back((now.after(GRANT_TERM), ahead));
-        }
-        Grant::now(amount)
-    }
-
-    /// Promises the next token that accrues, if the waiting operation has the patience.
-    fn promise(&mut self, wish: Wish, now: Moment) -> Grant {
-        let next = self.bucket.time_until(self.owed().saturating_add(TOKEN));
-        let next = next.map(|after| after.saturating_add(self.from.since(now)));
-        match next {
-            Some(after) if wish.waiting && after <= wish.patience => {
-                self.promised.push_back(now.after(after));
-                Grant::promise(after)
-            }
-            next => Grant::none(next.unwrap_or(Duration::MAX)),
-        }
-    }
-
-    /// Takes in what an authority before this one had left, and what it owed.
-    fn take_over(&mut self, remainder: Remainder, now: Moment) {
-        self.advance(now);
-        self.bucket.add(remainder.amount);
-        // Nobody owes more than a burst; a message that says so is not to be believed.
-        let most = u32::try_from(self.split.granted_burst / TOKEN).unwrap_or(u32::MAX);
-        let promised = remainder.promised.min(most);
-        self.promised.extend((0..promised).map(|_| now));
-        self.keep_promises(now);
-    }
-
-    /// Returns what is left, and what is owed.
-    fn remainder(&self) -> Remainder {
-        let owed = u32::try_from(self.promised.len()).unwrap_or(u32::MAX);
-        let covered = u32::try_from(self.bucket.tokens() / TOKEN).unwrap_or(u32::MAX);
-        Remainder {
-            amount: self.bucket.tokens().saturating_sub(self.owed()),
-            promised: owed.saturating_sub(covered),
-        }
-    }
-
-    /// Returns what was promised and has not been taken from the bucket.
-    fn owed(&self) -> u64 {
-        let count = u64::try_from(self.promised.len()).unwrap_or(u64::MAX);
-        count.saturating_mul(TOKEN)
-    }
-}
-
 /// Part that is granted no more.
 #[derive(Debug)]
 struct Retired {
@@ -182,8 +73,10 @@
 ///
 /// A bucket starts empty, because a former authority may just have granted a whole burst; what that one has
 /// left is added when it hands it over.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Authority {
+    /// Window in which rate and burst are counted.
+    window: Duration,
     parts: BTreeMap<AccountName, Part>,
     retired: BTreeMap<AccountName, Retired>,
     /// Accounts that were handed over, with the moment of the list of members that their successor goes by.
@@ -191,6 +84,17 @@
 }
 
 impl Authority {
+    /// Creates an authority that grants nothing yet; `window` is the one in which the operators count a rate.
+    #[must_use]
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            parts: BTreeMap::new(),
+            retired: BTreeMap::new(),
+            handed_over: BTreeMap::new(),
+        }
+    }
+
     /// Notes that this vm is the authority of an account, whose bucket begins to fill at `from`.
     ///
     /// A moment that has passed is one since which nobody has granted the account's part.
@@ -202,9 +106,10 @@
         }
         self.retired.remove(account);
         let parts = self.parts.entry(account.clone());
-        let part = parts.or_insert_with(|| Part::new(split, from));
+        let window = self.window;
+        let part = parts.or_insert_with(|| Part::new(split, window, from));
         part.advance(now);
-        part.split = split;
+        part.divide(split, now);
         part.begin(from, now);
     }
 
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -48,6 +48,8 @@
     pub withdrawal_ms: u32,
     /// Time from the request to stop to the end of the process, 500 to 600,000.
     pub grace_ms: u32,
+    /// Window in which operators count an account's rate and burst, 500 to 600,000.
+    pub rate_window_ms: u32,
 }
 
 /// Settings of one vm.
@@ -81,6 +83,12 @@
         Duration::from_millis(self.bounds.grace_ms.into())
     }
 
+    /// Returns the window in which operators count an account's rate and burst.
+    #[must_use]
+    pub fn rate_window(&self) -> Duration {
+        Duration::from_millis(self.bounds.rate_window_ms.into())
+    }
+
     /// Returns the vm's part of the fleet's work, in thousandths of a core.
     #[must_use]
     #[expect(
@@ -99,6 +107,7 @@
         let times = [
             ("bounds.withdrawal_ms", self.bounds.withdrawal_ms),
             ("bounds.grace_ms", self.bounds.grace_ms),
+            ("bounds.rate_window_ms", self.bounds.rate_window_ms),
         ];
         for (key, value) in times {
             if !allowed.contains(&value) {
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -70,7 +70,7 @@
     let board = Arc::new(Board::default());
     let vm_lease = Arc::new(VmLease::default());
     Meters::watch_beliefs(&metrics.meter(), Arc::clone(&board), Arc::clone(&vm_lease));
-    let handler = Arc::new(LinkHandler::new(Arc::clone(&board)));
+    let handler = Arc::new(LinkHandler::new(Arc::clone(&board), settings.rate_window()));
     let own = open_own_link(&handler);
     let links = Arc::new(Links::new(settings.vm.clone(), own));
     let me = member(&settings);
--- a/crates/proxy/tests/rates.rs
+++ b/crates/proxy/tests/rates.rs
@@ -4,6 +4,8 @@
 mod hand_over;
 #[path = "rates/start.rs"]
 mod start;
+#[path = "rates/window.rs"]
+mod window;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -28,6 +30,8 @@
 
 const TOKEN: u64 = 1_000_000;
 const STEP: Duration = Duration::from_millis(1);
+/// Window in which the bound of a rate is checked.
+const WINDOW: Duration = Duration::from_secs(5);
 
 fn account(rate: u64, burst: u64) -> Account {
     Account {
@@ -57,7 +61,7 @@
             account,
             name: AccountName::from("a"),
             authorities: (0..split.authorities)
-                .map(|_| Authority::default())
+                .map(|_| Authority::new(WINDOW))
                 .collect(),
             tokens: (0..7).map(|_| LocalTokens::new(now)).collect(),
             spent: Vec::new(),
@@ -194,7 +198,7 @@
 
 #[test]
 fn tokens_granted_ahead_are_held_back_from_the_burst() {
-    let mut authority = Authority::default();
+    let mut authority = Authority::new(WINDOW);
     let name = AccountName::from("a");
     let start = Moment::from_boot(Duration::from_secs(1));
     authority.hold(&name, Split::new(account(30, 30), 1), start, start);
@@ -226,7 +230,7 @@
 
 #[test]
 fn promised_tokens_are_given_to_nobody_else() {
-    let mut authority = Authority::default();
+    let mut authority = Authority::new(WINDOW);
     let name = AccountName::from("a");
     let start = Moment::from_boot(Duration::from_secs(1));
     authority.hold(&name, Split::new(account(100, 3), 1), start, start);
@@ -273,7 +277,7 @@
 
 #[test]
 fn former_authority_grants_nothing() {
-    let mut authority = Authority::default();
+    let mut authority = Authority::new(WINDOW);
     let now = Moment::from_boot(Duration::from_secs(1));
     let name = AccountName::from("a");
     authority.hold(&name, Split::new(account(10, 10), 3), now, now);
@@ -302,9 +306,6 @@
     assert_eq!(exhausted.time_left(&vm, later(1_000)), Duration::ZERO);
 }
 
-/// Window in which the bound of a rate is checked.
-const WINDOW: Duration = Duration::from_secs(5);
-
 /// Lets one authority grant every token it has for some time; returns when each was granted.
 fn granted_in(
     authority: &mut Authority,
@@ -343,13 +344,13 @@
     let name = AccountName::from("a");
     let split = Split::new(account(10, 3), 1);
     let start = Moment::from_boot(Duration::from_secs(100));
-    let mut former = Authority::default();
+    let mut former = Authority::new(WINDOW);
     former.hold(&name, split, start, start);
     let lease_end = start.after(Duration::from_secs(3));
     let mut holdings = Holdings::default();
     let lost = |_: &AccountName, _| BTreeSet::from([VmName::from("vm1")]);
     holdings.assign(BTreeMap::from([(name.clone(), split)]), lost, lease_end);
-    let mut successor = Authority::default();
+    let mut successor = Authority::new(WINDOW);
     for (account, held) in holdings.iter() {
         successor.hold(account, held.split, held.from, lease_end);
     }
@@ -379,7 +380,7 @@
         |_, _| vms.clone(),
         now,
     );
-    let mut authority = Authority::default();
+    let mut authority = Authority::new(WINDOW);
     let mut hold = |holdings: &Holdings, at: Moment| {
         for (account, held) in holdings.iter() {
             authority.hold(account, held.split, held.from, at);
--- a/crates/proxy/tests/rates/hand_over.rs
+++ b/crates/proxy/tests/rates/hand_over.rs
@@ -11,6 +11,7 @@
 use mustardbay_proxy::rates::Wish;
 
 use crate::TOKEN;
+use crate::WINDOW;
 use crate::account;
 use crate::granted_at;
 use crate::granted_in;
@@ -34,8 +35,8 @@
         let mut world = Self {
             name: AccountName::from("a"),
             split: Split::new(account(10, 10), 1),
-            former: Authority::default(),
-            successor: Authority::default(),
+            former: Authority::new(WINDOW),
+            successor: Authority::new(WINDOW),
             view: now,
             now,
         };
@@ -149,7 +150,7 @@
     let name = AccountName::from("a");
     let split = Split::new(account(10, 3), 1);
     let mut now = Moment::from_boot(Duration::from_secs(100));
-    let mut present = Authority::default();
+    let mut present = Authority::new(WINDOW);
     present.hold(&name, split, now, now);
     let mut granted = Vec::new();
     for _ in 0..12 {
@@ -161,7 +162,7 @@
         ));
         now = now.after(Duration::from_millis(997));
         let left = present.hand_over(&name, now, None, now);
-        present = Authority::default();
+        present = Authority::new(WINDOW);
         present.hold(&name, split, now, now);
         present.take_over(&name, left.expect("it hands over"), now);
     }
--- a/crates/proxy/tests/rates/start.rs
+++ b/crates/proxy/tests/rates/start.rs
@@ -17,6 +17,7 @@
 use mustardbay_proxy::vm_lease::VmLease;
 use test_case::test_case;
 
+use crate::WINDOW;
 use crate::account;
 use crate::granted_at;
 
@@ -49,7 +50,7 @@
     let split = Split::new(account(10, 10), 1);
     let started = Moment::from_boot(Duration::from_secs(100));
     let now = started.after(Duration::from_millis(700));
-    let mut authority = Authority::default();
+    let mut authority = Authority::new(WINDOW);
     authority.hold(&name, split, started, now);
     assert_eq!(
         granted_at(&mut authority, &name, now),
@@ -69,7 +70,7 @@
     holdings.assign(granted, |_, _| BTreeSet::new(), now);
     let later = now.after(Duration::from_secs(5));
     holdings.begin_again(later);
-    let mut authority = Authority::default();
+    let mut authority = Authority::new(WINDOW);
     for (account, held) in holdings.iter() {
         authority.hold(account, held.split, held.from, later);
     }
--- /dev/null
+++ b/crates/proxy/tests/rates/window.rs
@@ -0,0 +1,118 @@
+//! What a window of the length in which the operators count gives an account, and what it never exceeds.
+
+use std::time::Duration;
+
+use mustardbay_policy::names::AccountName;
+use mustardbay_proxy::clock::Moment;
+use mustardbay_proxy::rates::Authority;
+use mustardbay_proxy::rates::Grant;
+use mustardbay_proxy::rates::Split;
+use mustardbay_proxy::rates::Wish;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use test_case::test_case;
+
+use crate::Fleet;
+use crate::STEP;
+use crate::TOKEN;
+use crate::WINDOW;
+use crate::account;
+use crate::granted_in;
+use crate::most_in_a_window;
+
+/// Load: one account sends ten times its rate for half a minute. Each window owes it rate and burst.
+#[test_case(100, 100, 1_000; "large_account")]
+#[test_case(20, 20, 200; "small_account")]
+fn lasting_flood_regains_part_of_its_burst_in_each_window(rate: u64, burst: u64, wishes: u64) {
+    let mut fleet = Fleet::new(account(rate, burst));
+    fleet.run(Duration::from_secs(10), wishes);
+    fleet.spent.clear();
+    fleet.run(Duration::from_secs(20), wishes);
+    let served = fleet.spent.len() as u64;
+    assert!(served >= rate * 20 * 106 / 100, "{served} of {}", rate * 20);
+    let bound = usize::try_from(rate * 5 + burst).expect("small");
+    assert!(fleet.most_in(WINDOW) <= bound);
+}
+
+/// Load: demand that changes every half second, between nothing and five times the rate.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+#[test_case(5)]
+#[test_case(6)]
+fn no_window_exceeds_rate_and_burst(seed: u64) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut fleet = Fleet::new(account(40, 60));
+    for _ in 0..80 {
+        let wishes = [0, 10, 30, 40, 45, 60, 200][random.random_range(0..7)];
+        fleet.run(Duration::from_millis(500), wishes);
+    }
+    let most = fleet.most_in(WINDOW);
+    assert!(most <= 40 * 5 + 60, "{most} with seed {seed}");
+}
+
+/// Load: a flood while the authority's process ends and starts again at once, at any moment of a window.
+#[test]
+fn restart_within_a_flood_exceeds_a_window_by_less_than_a_tenth() {
+    let name = AccountName::from("a");
+    let split = Split::new(account(100, 100), 1);
+    let start = Moment::from_boot(Duration::from_secs(100));
+    for ended_ms in (5_000..12_000).step_by(250) {
+        let mut former = Authority::new(WINDOW);
+        former.hold(&name, split, start, start);
+        let idle = start.after(WINDOW * 2);
+        let lived = Duration::from_millis(ended_ms);
+        let mut granted = granted_in(&mut former, &name, idle, lived);
+        let again = idle.after(lived);
+        let mut next = Authority::new(WINDOW);
+        next.hold(&name, split, again, again);
+        granted.extend(granted_in(&mut next, &name, again, WINDOW));
+        let most = most_in_a_window(&granted);
+        assert!(most <= 660, "{most} of 600 after {ended_ms} ms");
+    }
+}
+
+/// Load: operations that wait at an authority whose burst is spent and small. A caller was told to come back after
+/// 49 days, and its vm did not ask again for a second.
+#[test]
+fn authority_that_owes_its_burst_says_when_it_has_a_token() {
+    let name = AccountName::from("a");
+    let start = Moment::from_boot(Duration::from_secs(100));
+    let mut authority = Authority::new(WINDOW);
+    authority.hold(&name, Split::new(account(20, 3), 1), start, start);
+    let mut ask = |patience| -> Grant {
+        let wish = Wish {
+            amount: TOKEN,
+            waiting: true,
+            patience: Duration::from_millis(patience),
+        };
+        authority
+            .grant(&name, wish, start)
+            .expect("it is the authority")
+    };
+    for turn in 1..=3 {
+        assert_eq!(ask(150).after, Duration::from_millis(50 * turn));
+    }
+    assert_eq!(ask(150).retry, Duration::from_millis(200));
+}
+
+/// Load: a flooding account whose rate is lowered gets the lower rate at once, and no window after it more.
+#[test]
+fn lowered_rate_is_granted_without_a_gap() {
+    let name = AccountName::from("a");
+    let start = Moment::from_boot(Duration::from_secs(100));
+    let mut authority = Authority::new(WINDOW);
+    authority.hold(&name, Split::new(account(100, 100), 1), start, start);
+    let lowered = start.after(WINDOW * 2);
+    granted_in(&mut authority, &name, start, WINDOW * 2);
+    authority.hold(&name, Split::new(account(20, 20), 1), lowered, lowered);
+    let granted = granted_in(&mut authority, &name, lowered, WINDOW * 4);
+    let first = granted.first().expect("it grants");
+    assert!(first.since(lowered) <= Duration::from_millis(50) + STEP);
+    assert!(most_in_a_window(&granted) <= 120);
+    let end = lowered.after(Duration::from_secs(1));
+    let soon = granted.iter().filter(|at| **at < end).count();
+    assert!(soon >= 19, "{soon} in the first second");
+}
--- a/crates/proxy/tests/reload.rs
+++ b/crates/proxy/tests/reload.rs
@@ -16,7 +16,7 @@
 domain: d0
 listen: {entry: 127.0.0.1:1, ready: 127.0.0.1:2, link: 127.0.0.1:3, admin: 127.0.0.1:4}
 platform: {store: 127.0.0.1:5, control: 127.0.0.1:6}
-bounds: {withdrawal_ms: 5000, grace_ms: 6000}
+bounds: {withdrawal_ms: 5000, grace_ms: 6000, rate_window_ms: 5000}
 cores: 0.25
 ";
 
