Serve reads of a cut-off domain by its own replicas, under a position from before the cut

Its stand-ins never saw the primary, so that they knew no position that is young enough; and a stand-in opened connections to upstreams beyond the cut.

Change: every answer of a pool carries the newest position of the primary with its age. A read of a bounded age names the position that is young enough for the moment it came; a pool that has none of its own goes by that one. At a stand-in an upstream of another domain counts as 40 ms further away.

Tests: pool/cut (forty reads a second at a stand-in whose home, primary and one replica are cut off; without a position they are refused), router run_stand_in_is_told_a_young_position.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod doubts;
 mod listener;
+mod primaries;
 mod router;
 mod token_cache;
 
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -16,6 +16,7 @@
 use crate::board::Board;
 use crate::clock::Moment;
 use crate::entry::Doubts;
+use crate::entry::primaries::Primaries;
 use crate::entry::router::attempt::Attempt;
 use crate::entry::router::attempt::Fallback;
 use crate::entry::router::attempt::NOWHERE_PAUSE_MS;
@@ -45,6 +46,7 @@
     board: Arc<Board>,
     links: Arc<Links>,
     doubts: Mutex<Doubts>,
+    primaries: Mutex<Primaries>,
 }
 
 impl Router {
@@ -56,6 +58,7 @@
             board,
             links,
             doubts: Mutex::default(),
+            primaries: Mutex::default(),
         }
     }
 
@@ -66,6 +69,11 @@
     pub async fn run(&self, unit: Unit) -> (Outcome, Option<Place>) {
         let began = Moment::now();
         let group = GroupName::from(unit.group.as_str());
+        let young_position = lock(&self.primaries).young(&group, &unit, began);
+        let unit = Unit {
+            young_position,
+            ..unit
+        };
         let mut last = Refusal::new(Cause::Unreachable, NOWHERE_PAUSE_MS);
         let mut unanswered: Vec<Attempt> = Vec::new();
         for member in self.places(&group) {
@@ -75,9 +83,11 @@
                 continue;
             };
             let request = unit.statement.id.clone();
+            let sent = Moment::now();
             let mut attempt = start(link, &member, group.clone(), unit);
             match self.first_word(&mut attempt).await {
                 Word::Final(outcome) => {
+                    self.learn(&group, &outcome, sent);
                     for other in &unanswered {
                         other.place.release();
                     }
@@ -150,6 +160,15 @@
         lock(&self.doubts).on_silence(domain, Moment::now());
     }
 
+    /// Takes in what an answer says about the group's primary.
+    fn learn(&self, group: &GroupName, outcome: &Outcome, sent: Moment) {
+        if let Outcome::Answered(answer) = outcome
+            && let Some(seen) = answer.lead
+        {
+            lock(&self.primaries).learn(group, seen, sent);
+        }
+    }
+
     fn is_doubted(&self, domain: &DomainName) -> bool {
         lock(&self.doubts).holds(domain, Moment::now())
     }
--- a/crates/proxy/src/pool/horizon.rs
+++ b/crates/proxy/src/horizon.rs
@@ -8,26 +8,33 @@
 
 use crate::clock::Moment;
 
-/// Age beyond which a sample serves no route.
-const KEPT: Duration = Duration::from_secs(10);
-/// Least time between two samples that are kept.
-const SPACING: Duration = Duration::from_millis(20);
 /// Part of a staleness bound that is left for the way to the upstream and its queue.
 const MARGIN: Duration = Duration::from_millis(250);
 
 /// Positions that a proven primary had, each dated by when it was asked.
 ///
 /// A position covers every commit that was acknowledged before it was asked for.
-#[derive(Debug, Default)]
-pub(super) struct Horizon {
+#[derive(Debug)]
+pub(crate) struct Horizon {
     samples: VecDeque<(Moment, Position)>,
+    kept: Duration,
+    spacing: Duration,
 }
 
 impl Horizon {
+    /// Creates a horizon that keeps samples for `kept`, with at least `spacing` between two of them.
+    pub(crate) fn new(kept: Duration, spacing: Duration) -> Self {
+        Self {
+            samples: VecDeque::new(),
+            kept,
+            spacing,
+        }
+    }
+
     /// Notes that the primary had reached `position` when it was asked.
     ///
     /// Positions of older terms are dropped, since a promotion may have rolled them back.
-    pub(super) fn note(&mut self, asked: Moment, position: Position) {
+    pub(crate) fn note(&mut self, asked: Moment, position: Position) {
         self.samples
             .retain(|(_, known)| known.term >= position.term);
         if self.term().is_some_and(|term| term > position.term) {
@@ -38,7 +45,7 @@
             if asked < *last {
                 return;
             }
-            if asked.since(*last) < SPACING && several {
+            if asked.since(*last) < self.spacing && several {
                 *known = (*known).max(position);
                 return;
             }
@@ -47,14 +54,14 @@
         while self
             .samples
             .front()
-            .is_some_and(|(at, _)| asked.since(*at) > KEPT)
+            .is_some_and(|(at, _)| asked.since(*at) > self.kept)
         {
             self.samples.pop_front();
         }
     }
 
     /// Returns the position that covers every commit older than `staleness`, the oldest that does.
-    pub(super) fn floor(&self, staleness: Duration, now: Moment) -> Option<Position> {
+    pub(crate) fn floor(&self, staleness: Duration, now: Moment) -> Option<Position> {
         let bound = staleness.saturating_sub(MARGIN);
         self.samples
             .iter()
@@ -63,7 +70,7 @@
     }
 
     /// Returns for how long the primary has been beyond a position; zero if it was not seen beyond.
-    pub(super) fn beyond(&self, position: Position, now: Moment) -> Duration {
+    pub(crate) fn beyond(&self, position: Position, now: Moment) -> Duration {
         self.samples
             .iter()
             .find(|(_, known)| *known > position)
@@ -71,7 +78,7 @@
     }
 
     /// Returns the time since the primary reached a position; zero if it was not seen there.
-    pub(super) fn age_of(&self, position: Position, now: Moment) -> Duration {
+    pub(crate) fn age_of(&self, position: Position, now: Moment) -> Duration {
         self.samples
             .iter()
             .find(|(_, known)| *known >= position)
@@ -79,12 +86,17 @@
     }
 
     /// Returns the time since the newest sample.
-    pub(super) fn age(&self, now: Moment) -> Option<Duration> {
+    pub(crate) fn age(&self, now: Moment) -> Option<Duration> {
         self.samples.back().map(|(at, _)| now.since(*at))
     }
 
+    /// Returns the newest sample.
+    pub(crate) fn newest(&self) -> Option<(Moment, Position)> {
+        self.samples.back().copied()
+    }
+
     /// Returns the newest term that was seen.
-    pub(super) fn term(&self) -> Option<Term> {
+    pub(crate) fn term(&self) -> Option<Term> {
         self.samples.back().map(|(_, position)| position.term)
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod group;
+mod horizon;
 pub mod link;
 pub mod link_handler;
 pub mod meters;
--- a/crates/proxy/src/link_handler.rs
+++ b/crates/proxy/src/link_handler.rs
@@ -110,8 +110,8 @@
         };
         let sent = lock(&self.links)
             .get(&link)
-            .map(|replies| replies.send(reply));
-        if !matches!(sent, Some(Ok(()))) {
+            .is_some_and(|replies| replies.send(reply).is_ok());
+        if !sent {
             tracing::debug!(event = "reply_dropped", link, number);
         }
     }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -7,7 +7,6 @@
 mod candidate;
 mod connection;
 mod dispatch;
-mod horizon;
 mod input;
 mod job;
 mod lead;
@@ -30,14 +29,16 @@
 use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::UpstreamName;
 
 use crate::clock::Moment;
+use crate::clock::millis_up;
+use crate::horizon::Horizon;
 pub use crate::pool::candidate::Candidate;
 pub use crate::pool::candidate::Standing;
 use crate::pool::connection::Connection;
 pub use crate::pool::connection::ConnectionId;
-use crate::pool::horizon::Horizon;
 pub use crate::pool::input::Input;
 pub use crate::pool::input::OpenFailure;
 use crate::pool::job::Job;
@@ -57,10 +58,18 @@
 use crate::pool::upstream::Upstream;
 pub use crate::pool::view::Contact;
 pub use crate::pool::view::PoolView;
+use crate::work::DatedPosition;
+
+/// Age beyond which a position of the primary serves no route.
+const POSITIONS_KEPT: Duration = Duration::from_secs(10);
+/// Least time between two positions of the primary that are kept.
+const POSITIONS_SPACING: Duration = Duration::from_millis(20);
 
 /// Queue, placement and connections of one database group on one vm.
 #[derive(Debug)]
 pub struct Pool {
+    /// Failure domain of this vm.
+    domain: DomainName,
     upstreams: BTreeMap<UpstreamName, Upstream>,
     connections: BTreeMap<ConnectionId, Connection>,
     jobs: BTreeMap<TicketId, Job>,
@@ -85,17 +94,18 @@
 }
 
 impl Pool {
-    /// Creates a pool that knows no upstream yet.
+    /// Creates the pool of a vm in `domain` that knows no upstream yet.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(domain: DomainName) -> Self {
         Self {
+            domain,
             upstreams: BTreeMap::new(),
             connections: BTreeMap::new(),
             jobs: BTreeMap::new(),
             waiting: BTreeMap::new(),
             held: VecDeque::new(),
             lead: Lead::default(),
-            horizon: Horizon::default(),
+            horizon: Horizon::new(POSITIONS_KEPT, POSITIONS_SPACING),
             share: 0,
             home: false,
             retired: false,
@@ -137,12 +147,23 @@
             Input::Tick => self.tick(now),
         }
         self.dispatch(now);
+        self.date_answers(now);
         std::mem::take(&mut self.out)
     }
-}
 
-impl Default for Pool {
-    fn default() -> Self {
-        Self::new()
+    /// Adds the newest position of the primary to what sessions are answered.
+    fn date_answers(&mut self, now: Moment) {
+        let lead = self
+            .horizon
+            .newest()
+            .map(|(asked, position)| DatedPosition {
+                position: position.into(),
+                age_ms: millis_up(now.since(asked)),
+            });
+        for output in &mut self.out {
+            if let Output::Finish(_, Outcome::Answered(answer)) = output {
+                answer.lead = lead;
+            }
+        }
     }
 }
--- a/crates/proxy/src/pool/place.rs
+++ b/crates/proxy/src/pool/place.rs
@@ -25,6 +25,8 @@
 const ROUND_TRIP: Duration = Duration::from_millis(1);
 /// Time that opening a connection costs an upstream, against waiting for another upstream.
 const OPENING: Duration = Duration::from_millis(20);
+/// Time that an upstream in another failure domain counts for at a stand-in, against waiting for a near one.
+const FAR: Duration = Duration::from_millis(40);
 /// Connections that may be closing at an upstream while others are opened in their place.
 const REPLACED: u32 = 2;
 
@@ -60,7 +62,8 @@
             return Need::Lead;
         }
         let staleness = Duration::from_millis(unit.staleness_ms.into());
-        let Some(floor) = self.horizon.floor(staleness, now) else {
+        let own = self.horizon.floor(staleness, now);
+        let Some(floor) = own.or(unit.young_position.map(Position::from)) else {
             return Need::Lead;
         };
         let own = unit
@@ -109,7 +112,10 @@
             let Some((way, toll)) = self.way_to(name, upstream, &account, job, load, now) else {
                 continue;
             };
-            let cost = self.wait_at(upstream, load) + toll + self.bias(name, need);
+            let cost = self.wait_at(upstream, load)
+                + toll
+                + self.bias(name, need)
+                + self.distance(upstream);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, way));
             }
@@ -223,6 +229,18 @@
         self.service * load.busy / upstream.registration.slots.max(1)
     }
 
+    /// Returns what the way to an upstream in another failure domain counts for.
+    ///
+    /// A stand-in serves while its group's home cannot be reached, often because domains are cut off from each
+    /// other; the home sees which upstreams it reaches.
+    fn distance(&self, upstream: &Upstream) -> Duration {
+        if self.home || upstream.registration.domain == self.domain {
+            Duration::ZERO
+        } else {
+            FAR
+        }
+    }
+
     /// Returns what a read at the primary costs the writes that only it can serve.
     fn bias(&self, name: &UpstreamName, need: Need) -> Duration {
         match need {
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::GroupName;
 use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::position::Term;
@@ -79,9 +80,10 @@
     wire: std::marker::PhantomData<W>,
 }
 
-/// Starts the pool of a group.
+/// Starts the pool of a group on a vm in `domain`.
 pub fn start<W: Wire>(
     group: GroupName,
+    domain: DomainName,
     handler: Arc<LinkHandler>,
     meters: Arc<Meters>,
     timer: &Timer,
@@ -91,7 +93,7 @@
     let mut runner = Runner::<W> {
         levels: meters.pool(&group),
         group,
-        pool: Pool::new(),
+        pool: Pool::new(domain),
         inbox: inbox.clone(),
         handler,
         meters,
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -337,6 +337,7 @@
             priority: route.priority,
             left_ms: millis(route.timeout),
             objective_ms: millis(route.objective),
+            young_position: None,
         }
     }
 
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -96,6 +96,7 @@
     let sessions = entry.sessions.clone();
     let steward = steward::start::<W>(steward::Parts {
         me: settings.vm.clone(),
+        domain: settings.domain.clone(),
         board: Arc::clone(&board),
         handler: Arc::clone(&handler),
         links: Arc::clone(&links),
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -15,6 +15,7 @@
 use kameo::message::Context;
 use kameo::message::Message;
 use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::GroupName;
 use mustardbay_policy::names::VmName;
 use mustardbay_process::timer::Timer;
@@ -49,6 +50,7 @@
 /// What the steward works with.
 pub(super) struct Parts {
     pub(super) me: VmName,
+    pub(super) domain: DomainName,
     pub(super) board: Arc<Board>,
     pub(super) handler: Arc<LinkHandler>,
     pub(super) links: Arc<Links>,
@@ -83,7 +85,8 @@
         parts: Arc::new(parts),
         start_pool: |group, parts| {
             let handler = Arc::clone(&parts.handler);
-            runner::start::<W>(group, handler, Arc::clone(&parts.meters), &parts.timer)
+            let meters = Arc::clone(&parts.meters);
+            runner::start::<W>(group, parts.domain.clone(), handler, meters, &parts.timer)
         },
         groups: BTreeMap::new(),
         granting: Granting::default(),
--- a/crates/proxy/src/work.rs
+++ b/crates/proxy/src/work.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod class;
 mod code;
+mod dated_position;
 mod guarantee;
 mod log_position;
 mod setting;
@@ -13,6 +14,7 @@
 pub use answer::TransactionState;
 pub use class::Class;
 pub use code::Code;
+pub use dated_position::DatedPosition;
 pub use guarantee::Guarantee;
 pub use log_position::LogPosition;
 pub use setting::Setting;
--- a/crates/proxy/src/work/answer.rs
+++ b/crates/proxy/src/work/answer.rs
@@ -1,6 +1,7 @@
 //! Answer of an upstream to one statement.
 
 use crate::work::Code;
+use crate::work::DatedPosition;
 use crate::work::LogPosition;
 
 /// State of a connection's transaction after an answer.
@@ -36,6 +37,9 @@
     /// Log position of the upstream afterwards.
     #[prost(message, optional, tag = "6")]
     pub position: Option<LogPosition>,
+    /// Newest position of the group's primary that the pool knew.
+    #[prost(message, optional, tag = "7")]
+    pub lead: Option<DatedPosition>,
 }
 
 impl Answer {
--- a/crates/proxy/src/work/unit.rs
+++ b/crates/proxy/src/work/unit.rs
@@ -46,6 +46,9 @@
     /// Latency objective that is left, in milliseconds.
     #[prost(uint32, tag = "11")]
     pub objective_ms: u32,
+    /// Position that is young enough for its reads, as the entry saw the primary; for a pool that has not seen it.
+    #[prost(message, optional, tag = "12")]
+    pub young_position: Option<LogPosition>,
 }
 
 impl Unit {
--- a/crates/proxy/tests/pool.rs
+++ b/crates/proxy/tests/pool.rs
@@ -2,6 +2,8 @@
 
 #[path = "pool/bed.rs"]
 mod bed;
+#[path = "pool/cut.rs"]
+mod cut;
 #[path = "pool/faults.rs"]
 mod faults;
 #[path = "pool/load.rs"]
--- a/crates/proxy/tests/pool/bed.rs
+++ b/crates/proxy/tests/pool/bed.rs
@@ -94,6 +94,15 @@
 impl Bed {
     /// Creates a home pool with `share` connections an upstream; `u0` leads.
     pub fn new(share: u32) -> Self {
+        Self::with(share, "d0", true)
+    }
+
+    /// Creates the pool of a stand-in in the domain of `u1`.
+    pub fn stand_in(share: u32) -> Self {
+        Self::with(share, "d1", false)
+    }
+
+    fn with(share: u32, domain: &str, home: bool) -> Self {
         let upstreams = (0..3).map(|index| {
             let role = if index == 0 {
                 Role::Primary
@@ -112,7 +121,7 @@
             (name(index), upstream)
         });
         let mut bed = Self {
-            pool: Pool::new(),
+            pool: Pool::new(DomainName::from(domain)),
             now: Moment::from_boot(Duration::from_secs(1_000)),
             upstreams: upstreams.collect(),
             lines: BTreeMap::new(),
@@ -127,7 +136,7 @@
         };
         bed.feed(Input::Share {
             connections: share,
-            home: true,
+            home,
             status_account: Some(AccountName::from("a0")),
         });
         bed.register(&[]);
@@ -140,7 +149,7 @@
         let registrations = (0..3).map(|index| Registration {
             name: name(index),
             address: ([127, 0, 0, 1], 1_000).into(),
-            domain: DomainName::from("d"),
+            domain: DomainName::from(format!("d{index}")),
             slots: 3,
             draining: leaving.contains(&index),
             role: self.upstreams[&name(index)].role,
--- a/crates/proxy/tests/router.rs
+++ b/crates/proxy/tests/router.rs
@@ -33,6 +33,9 @@
 use mustardbay_proxy::survey::Survey;
 use mustardbay_proxy::work::Answer;
 use mustardbay_proxy::work::Code;
+use mustardbay_proxy::work::DatedPosition;
+use mustardbay_proxy::work::Guarantee;
+use mustardbay_proxy::work::LogPosition;
 use mustardbay_proxy::work::Statement;
 use mustardbay_proxy::work::TransactionState;
 use mustardbay_proxy::work::Unit;
@@ -65,7 +68,7 @@
 struct Vm {
     address: SocketAddr,
     mood: Arc<Mutex<Mood>>,
-    offered: Arc<Mutex<Vec<String>>>,
+    offered: Arc<Mutex<Vec<Unit>>>,
 }
 
 impl Vm {
@@ -92,10 +95,7 @@
             let mood = self.mood();
             let body = match ask.body {
                 Some(AskBody::Offer(unit)) => {
-                    self.offered
-                        .lock()
-                        .expect("whole")
-                        .push(unit.statement.id.clone());
+                    self.offered.lock().expect("whole").push(unit);
                     match mood {
                         Mood::Refusing => ReplyBody::Refused(Refusal::new(Cause::NoPrimary, 50)),
                         Mood::Well | Mood::Silent | Mood::Slow => ReplyBody::Answer(answer()),
@@ -134,7 +134,14 @@
 }
 
 fn answer() -> Answer {
-    Answer::failed(Code::Failed, "it came here", TransactionState::Idle)
+    let lead = DatedPosition {
+        position: LogPosition { term: 1, index: 7 },
+        age_ms: 20,
+    };
+    Answer {
+        lead: Some(lead),
+        ..Answer::failed(Code::Failed, "it came here", TransactionState::Idle)
+    }
 }
 
 /// A router before vms in three domains, with two groups of which the homes share a domain.
@@ -323,3 +330,28 @@
     assert!(is_answered(&outcome), "{outcome:?}");
     assert!(took >= SLOW, "{took:?}");
 }
+
+/// The home shows how far the primary was: a stand-in is told, for as long as that is young enough.
+#[test_case(Guarantee::BoundedStaleness, 600, Some(7); "read_of_a_bounded_age")]
+#[test_case(Guarantee::BoundedStaleness, 260, None; "read_that_must_be_younger")]
+#[test_case(Guarantee::Primary, 600, None; "read_at_the_primary")]
+#[tokio::test]
+async fn run_stand_in_is_told_a_young_position(
+    guarantee: Guarantee,
+    staleness_ms: u32,
+    expected: Option<u64>,
+) {
+    let bed = Bed::start().await;
+    bed.run(0, Verb::Read, None).await;
+    bed.at(0, 0).set(Mood::Refusing);
+    let read = Unit {
+        guarantee: guarantee.into(),
+        staleness_ms,
+        ..unit(&bed.groups[0], Verb::Read, None)
+    };
+    let (outcome, _) = bed.router.run(read).await;
+    assert!(is_answered(&outcome), "{outcome:?}");
+    let offered = bed.at(0, 1).offered.lock().expect("whole");
+    let told = offered[0].young_position.map(|position| position.index);
+    assert_eq!(told, expected);
+}
