--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -6,7 +6,9 @@
 
 mod candidate;
 mod connection;
+mod contact;
 mod dispatch;
+mod expiry;
 mod input;
 mod job;
 mod lead;
@@ -16,6 +18,7 @@
 mod output;
 mod place;
 mod refusal;
+mod registry;
 mod reply;
 mod service;
 mod step;
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod client;
 mod conduct;
+mod record;
 mod transaction;
 mod values;
 
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mustardbay_policy::names::AccountName;
 use mustardbay_policy::names::RouteName;
 use mustardbay_policy::position::Position;
 
@@ -17,13 +16,13 @@
 use crate::entry::look_up;
 use crate::pool::Outcome;
 use crate::session::answer;
+use crate::session::record::shown;
 use crate::session::transaction::Progress;
 use crate::session::transaction::Transaction;
 use crate::session::values::Values;
 use crate::wire::Request;
 use crate::wire::ToCaller;
 use crate::work::Answer;
-use crate::work::Class;
 use crate::work::Code;
 use crate::work::Setting;
 use crate::work::Statement;
@@ -40,10 +39,10 @@
 /// One caller's session.
 #[derive(Debug)]
 pub(super) struct Client {
-    number: u64,
-    route: RouteName,
-    key: Option<Key>,
-    entry: Arc<Entry>,
+    pub(super) number: u64,
+    pub(super) route: RouteName,
+    pub(super) key: Option<Key>,
+    pub(super) entry: Arc<Entry>,
     values: Values,
     /// Position of the last commit that the session knows of.
     floor: Option<Position>,
@@ -352,50 +351,6 @@
             self.floor = self.floor.max(Some(position.into()));
         }
     }
-
-    fn deny(&self, request: &str, denial: &Denial, state: TransactionState) -> Vec<ToCaller> {
-        self.entry.meters.refused(denial.name());
-        let (version, age_ms) = shown(&self.entry);
-        tracing::info!(event = "operation_denied", request, session = self.number,
-            account = denial.account().map(AccountName::as_str), route = %self.route,
-            cause = denial.name(), retry_ms = denial.retry_ms(), version, age_ms);
-        answer::error(denial.code(), denial.text(), state)
-    }
-
-    /// Logs and counts the outcome of a statement; successes within the objective are only counted.
-    fn record(&self, request: &str, verb: Verb, messages: &[ToCaller], began: Moment) {
-        let took = Moment::now().since(began);
-        let failure = messages.iter().find_map(|message| match message {
-            ToCaller::Error(code, text) => Some((*code, text)),
-            _ => None,
-        });
-        let outcome = match failure {
-            None => "success",
-            Some((code, _)) => code.name(),
-        };
-        self.entry.meters.statement(outcome, took);
-        let belief = self.entry.board.belief();
-        let configuration = belief.as_ref().map(|b| &b.survey.configuration);
-        let route = configuration.and_then(|c| c.routes.get(&self.route));
-        // Without a route there is no objective to miss.
-        let objective = route.map_or(Duration::MAX, |route| route.objective);
-        if failure.is_none() && took <= objective {
-            return;
-        }
-        let class = route.map(|route| Class::of(verb, route.guarantee).name());
-        let account = configuration.and_then(|c| c.keys.get(self.key.as_ref()?));
-        let account = account.map(AccountName::as_str);
-        match failure {
-            None => tracing::info!(event = "statement_late", request, session = self.number,
-                account, class, route = %self.route, verb = ?verb, took_ms = millis(took),
-                objective_ms = millis(objective)),
-            Some((code, text)) => {
-                tracing::info!(event = "statement_failed", request, session = self.number,
-                account, class, route = %self.route, verb = ?verb, code = ?code, text = %text,
-                took_ms = millis(took));
-            }
-        }
-    }
 }
 
 /// Decides whether a session may begin.
@@ -411,14 +366,6 @@
     }
 }
 
-/// Returns version and age in milliseconds of the configuration, for a line of the log.
-fn shown(entry: &Entry) -> (Option<u64>, Option<u32>) {
-    let belief = entry.board.belief();
-    let version = belief.as_ref().map(|b| b.survey.configuration.version.0);
-    let age_ms = belief.map(|b| millis(b.age(Moment::now())));
-    (version, age_ms)
-}
-
 /// Returns the answer that tells a caller of an outcome.
 fn into_answer(outcome: Outcome) -> Answer {
     match outcome {
--- /dev/null
+++ b/crates/proxy/src/session/record.rs
@@ -0,0 +1,76 @@
+//! What the log and the metrics are told of a session's statements.
+
+use std::time::Duration;
+
+use mustardbay_policy::names::AccountName;
+
+use crate::clock::Moment;
+use crate::clock::millis;
+use crate::entry::Denial;
+use crate::entry::Entry;
+use crate::session::answer;
+use crate::session::client::Client;
+use crate::wire::ToCaller;
+use crate::work::Class;
+use crate::work::TransactionState;
+use crate::work::Verb;
+
+impl Client {
+    /// Refuses an operation that is not admitted.
+    pub(super) fn deny(
+        &self,
+        request: &str,
+        denial: &Denial,
+        state: TransactionState,
+    ) -> Vec<ToCaller> {
+        self.entry.meters.refused(denial.name());
+        let (version, age_ms) = shown(&self.entry);
+        tracing::info!(event = "operation_denied", request, session = self.number,
+            account = denial.account().map(AccountName::as_str), route = %self.route,
+            cause = denial.name(), retry_ms = denial.retry_ms(), version, age_ms);
+        answer::error(denial.code(), denial.text(), state)
+    }
+
+    /// Logs and counts the outcome of a statement; successes within the objective are only counted.
+    pub(super) fn record(&self, request: &str, verb: Verb, messages: &[ToCaller], began: Moment) {
+        let took = Moment::now().since(began);
+        let failure = messages.iter().find_map(|message| match message {
+            ToCaller::Error(code, text) => Some((*code, text)),
+            _ => None,
+        });
+        let outcome = match failure {
+            None => "success",
+            Some((code, _)) => code.name(),
+        };
+        self.entry.meters.statement(outcome, took);
+        let belief = self.entry.board.belief();
+        let configuration = belief.as_ref().map(|b| &b.survey.configuration);
+        let route = configuration.and_then(|c| c.routes.get(&self.route));
+        // Without a route there is no objective to miss.
+        let objective = route.map_or(Duration::MAX, |route| route.objective);
+        if failure.is_none() && took <= objective {
+            return;
+        }
+        let class = route.map(|route| Class::of(verb, route.guarantee).name());
+        let account = configuration.and_then(|c| c.keys.get(self.key.as_ref()?));
+        let account = account.map(AccountName::as_str);
+        match failure {
+            None => tracing::info!(event = "statement_late", request, session = self.number,
+                account, class, route = %self.route, verb = ?verb, took_ms = millis(took),
+                objective_ms = millis(objective)),
+            Some((code, text)) => {
+                tracing::info!(event = "statement_failed", request, session = self.number,
+                account, class, route = %self.route, verb = ?verb, code = ?code, text = %text,
+                took_ms = millis(took));
+            }
+        }
+    }
+}
+
+/// Returns version and age in milliseconds of the configuration, for a line of the log.
+pub(super) fn shown(entry: &Entry) -> (Option<u64>, Option<u32>) {
+    let belief = entry.board.belief();
+    let version = belief.as_ref().map(|b| b.survey.configuration.version.0);
+    let age_ms = belief.map(|b| millis(b.age(Moment::now())));
+    (version, age_ms)
+}
