Take no callers at an entry before the accounts' rates are known

At a fleet's start the ledger of an account is created only once all listed vms are there, up to 2 s after the first share, and read by the others up to a second later. An entry counted as ready before, and a draw waits 300 ms at most: the first statements were refused as if the rate were spent. Concluded from the code; shown by a test of the shares: a second after the start, with a third vm listed and not there yet, a draw within the rate brings nothing.

Change: a steward posts that the rates are known when it has read every account's ledger; an entry is ready after that, or 2 s after the groups are known at the latest, as while the platform is away.

Test: rates_are_known_once_the_ledger_was_read.

--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/readiness.rs
@@ -11,8 +11,10 @@
 /// Longest wait, after the first view, for groups whose state is not known: half of the 4 s within which a
 /// configuration is to be in force.
 const GROUPS_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait after that for the accounts' rates, the other half: while the platform is away nobody knows them.
+const RATES_WAIT: Duration = Duration::from_secs(2);
 
-/// Marks the process ready once the state of every group is known.
+/// Marks the process ready once the state of every group is known, and the accounts' rates are.
 ///
 /// An entry that is ready before refuses statements that others would serve. A group that stays unknown
 /// keeps callers of the other groups waiting for [`GROUPS_WAIT`] only.
@@ -20,11 +22,18 @@
     if !seen(&ctx, |_| true).await {
         return;
     }
-    match timeout(GROUPS_WAIT, seen(&ctx, knows_groups)).await {
-        Ok(true) => tracing::info!(event = "entry_ready"),
-        Ok(false) => return,
-        Err(_) => tracing::warn!(event = "entry_ready", reason = "groups stay unknown"),
+    let waits = [
+        (GROUPS_WAIT, knows_groups as fn(&View) -> bool, "groups"),
+        (RATES_WAIT, |view| view.rates_known, "rates"),
+    ];
+    for (wait, check, unknown) in waits {
+        match timeout(wait, seen(&ctx, check)).await {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(_) => tracing::warn!(event = "entry_waited_in_vain", unknown),
+        }
     }
+    tracing::info!(event = "entry_ready");
     ctx.life.mark_ready();
 }
 
--- a/crates/entry/tests/entry/bed.rs
+++ b/crates/entry/tests/entry/bed.rs
@@ -238,6 +238,7 @@
     View {
         bundle: Arc::new(bundle),
         groups: BTreeMap::from([(group.into(), state)]),
+        rates_known: true,
         vms: BTreeMap::from([("vm1".into(), vm)]),
     }
 }
--- a/crates/entry/tests/entry/fake_steward.rs
+++ b/crates/entry/tests/entry/fake_steward.rs
@@ -113,5 +113,6 @@
         bundle: Some(serde_json::to_vec(&*view.bundle).unwrap().into()),
         groups: Some(serde_json::to_vec(&view.groups).unwrap().into()),
         vms: Some(serde_json::to_vec(&view.vms).unwrap().into()),
+        rates_known: Some(view.rates_known),
     }
 }
--- a/crates/link/src/merge.rs
+++ b/crates/link/src/merge.rs
@@ -32,10 +32,12 @@
         (None, Some(old)) => old.vms.clone(),
         (None, None) => BTreeMap::default(),
     };
+    let known = old.is_some_and(|old| old.rates_known);
     Ok(View {
         bundle,
         groups,
         vms,
+        rates_known: update.rates_known.unwrap_or(known),
     })
 }
 
--- a/crates/link/tests/merge.rs
+++ b/crates/link/tests/merge.rs
@@ -29,6 +29,7 @@
         ),
         groups: Some(serde_json::to_vec(&groups).expect("groups are JSON").into()),
         vms: None,
+        rates_known: None,
     }
 }
 
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -49,4 +49,7 @@
     pub groups: BTreeMap<GroupName, GroupState>,
     /// Live virtual machines, this one included.
     pub vms: BTreeMap<VmName, VmState>,
+    /// Whether the steward has read who owns which part of the accounts' rates; before, every statement
+    /// would be refused for its rate.
+    pub rates_known: bool,
 }
--- a/crates/pool/tests/pool/fake_steward.rs
+++ b/crates/pool/tests/pool/fake_steward.rs
@@ -47,6 +47,7 @@
             bundle: Some(serde_json::to_vec(&view.bundle).expect("json").into()),
             groups: Some(serde_json::to_vec(&view.groups).expect("json").into()),
             vms: Some(serde_json::to_vec(&view.vms).expect("json").into()),
+            rates_known: Some(view.rates_known),
         };
         let body = Some(from_steward::Body::View(update));
         if socket.send(FromSteward { body }).await.is_err() {
--- a/crates/pool/tests/pool/fixture.rs
+++ b/crates/pool/tests/pool/fixture.rs
@@ -142,6 +142,7 @@
     View {
         bundle: Arc::new(bundle),
         groups: BTreeMap::from([("g".into(), state)]),
+        rates_known: true,
         vms: BTreeMap::new(),
     }
 }
--- a/crates/steward/src/board.rs
+++ b/crates/steward/src/board.rs
@@ -44,6 +44,7 @@
     bundle: u64,
     groups: u64,
     vms: u64,
+    rates_known: bool,
 }
 
 impl Part {
@@ -69,11 +70,13 @@
             bundle: self.bundle.since(sent.bundle),
             groups: self.groups.since(sent.groups),
             vms: self.vms.since(sent.vms),
+            rates_known: (self.view.rates_known && !sent.rates_known).then_some(true),
         };
         *sent = Sent {
             bundle: self.bundle.changes,
             groups: self.groups.changes,
             vms: self.vms.changes,
+            rates_known: self.view.rates_known,
         };
         (update != ViewUpdate::default()).then_some(update)
     }
@@ -85,6 +88,7 @@
             bundle: Arc::default(),
             groups: BTreeMap::new(),
             vms: BTreeMap::new(),
+            rates_known: false,
         };
         let posted = Posted {
             view: Arc::new(view),
@@ -140,6 +144,17 @@
         })
     }
 
+    /// Posts that the parts of the accounts' rates are known; returns whether that is news.
+    pub(crate) fn post_rates_known(&self) -> bool {
+        self.posted.send_if_modified(|posted| {
+            let news = !posted.view.rates_known;
+            if news {
+                Arc::make_mut(&mut posted.view).rates_known = true;
+            }
+            news
+        })
+    }
+
     /// Posts the live virtual machines; returns whether they changed.
     pub(crate) fn post_vms(&self, vms: BTreeMap<VmName, VmState>) -> bool {
         self.posted.send_if_modified(|posted| {
--- a/crates/steward/src/rate_actor.rs
+++ b/crates/steward/src/rate_actor.rs
@@ -148,6 +148,12 @@
     async fn handle(&mut self, msg: Read, ctx: &mut Context<Self, ()>) {
         let outputs = self.rates.on_reading(msg.0, Instant::now());
         self.carry_out(outputs, ctx.actor_ref());
+        let view = self.board.view();
+        let accounts = view.bundle.accounts.len();
+        let configured = view.bundle.version.0 > 0;
+        if configured && self.rates.are_known(&view) && self.board.post_rates_known() {
+            tracing::info!(event = "rates_known", accounts);
+        }
     }
 }
 
--- a/crates/steward/src/rates.rs
+++ b/crates/steward/src/rates.rs
@@ -104,6 +104,16 @@
         self.shares.contains_key(&AccountName::from(account))
     }
 
+    /// Tells whether the ledger of every account of a view has been read.
+    #[must_use]
+    pub fn are_known(&self, view: &View) -> bool {
+        let mut accounts = view.bundle.accounts.iter();
+        accounts.all(|account| {
+            let share = self.shares.get(&account.name);
+            share.is_some_and(Share::is_known)
+        })
+    }
+
     /// Answers a draw of tokens, at once or when peers have been asked.
     pub fn on_draw(&mut self, link: LinkId, draw: DrawTokens, now: Instant) -> Vec<RatesOutput> {
         let now = self.time(now);
--- a/crates/steward/src/rates/share.rs
+++ b/crates/steward/src/rates/share.rs
@@ -98,6 +98,11 @@
         self.holder.set_limits(rate, burst, now);
     }
 
+    /// Tells whether the account's ledger has been read.
+    pub(super) fn is_known(&self) -> bool {
+        self.ledger.is_some()
+    }
+
     /// Grants what is at hand, or asks peers first.
     pub(super) fn on_draw(
         &mut self,
--- a/crates/steward/tests/alignment.rs
+++ b/crates/steward/tests/alignment.rs
@@ -10,6 +10,7 @@
     View {
         bundle: Arc::default(),
         groups: BTreeMap::new(),
+        rates_known: false,
         vms: BTreeMap::new(),
     }
 }
--- a/crates/steward/tests/rates.rs
+++ b/crates/steward/tests/rates.rs
@@ -104,6 +104,7 @@
                 ..Bundle::default()
             }),
             groups: BTreeMap::new(),
+            rates_known: false,
             vms: lives.map(|(vm, i)| (vm.clone(), state(*i))).collect(),
         }
     }
@@ -225,6 +226,10 @@
         questions.collect()
     }
 
+    fn are_known(&self, vm: &str) -> bool {
+        self.rates[&VmName::from(vm)].are_known(&self.view())
+    }
+
     fn ledger(&self) -> &Ledger {
         &self.ledgers[&AccountName::from("editors")].1
     }
@@ -249,6 +254,23 @@
     assert_eq!(stewards.ledger().entries.len(), 3);
 }
 
+/// An entry that is ready before refuses its first statements for a rate that nobody has spent.
+#[test]
+fn rates_are_known_once_the_ledger_was_read() {
+    let mut stewards = Stewards::start(2);
+    stewards.listed.insert("vm2".into());
+    stewards.run(Duration::from_secs(1));
+    assert!(!stewards.are_known("vm0"), "the ledger waits for vm2");
+    assert_eq!(stewards.draw("vm0", 1, 0), 0);
+    stewards.check_answered();
+    stewards.add("vm2", 1);
+    stewards.run(Duration::from_secs(3));
+    for vm in ["vm0", "vm1", "vm2"] {
+        assert!(stewards.are_known(vm));
+        assert_eq!(stewards.draw(vm, 1, 0), 1);
+    }
+}
+
 /// One of three listed virtual machines never starts.
 #[test]
 fn ledger_does_not_wait_for_ever() {
--- a/crates/wire/src/local.rs
+++ b/crates/wire/src/local.rs
@@ -83,6 +83,9 @@
     /// [`VmState`](mustardbay_policy::view::VmState), when one changed.
     #[prost(bytes = "bytes", optional, tag = "3")]
     pub vms: Option<Bytes>,
+    /// Whether the parts of the accounts' rates are known, once they are.
+    #[prost(bool, optional, tag = "4")]
+    pub rates_known: Option<bool>,
 }
 
 /// Answer to [`DrawTokens`]; the steward has already subtracted the tokens.
