--- a/crates/proxy/src/rates.rs
+++ b/crates/proxy/src/rates.rs
@@ -3,7 +3,8 @@
 //! Rate and burst are granted by a few vms in different failure domains, the account's authorities, each
 //! an equal part. An authority counts a token as spent when it grants it. Tokens that are granted ahead of
 //! their use lapse after [`GRANT_TERM`]; until then an authority's burst is smaller by them, so that no
-//! window holds more than the burst and the rate. An authority goes on for [`GRANT_GRACE`] past its lease
+//! window holds more than the burst and the rate. Operators owe rate and burst in each window anew; what a window
+//! has room for beyond the bucket comes back slowly, up to half of the burst. An authority goes on for [`GRANT_GRACE`] past its lease
 //! while the store is silent; a successor begins after that, or once the former one has certainly stopped.
 //! One that can be reached hands over what it has left, so that an account loses nothing when vms come and go.
 
