Send nothing to the upstreams of an evacuated domain

Cause: the operators' key op/evacuate/DOMAIN was passed over when the store was decoded.

A vm counts the operators' bound from its last view without the evacuation (fleet::Evacuations), so the bound holds from the store's acknowledgement. One decision without input or output, pool::Departure, says which upstream may get new work; placement, retries, stand-ins, status queries and the failover use it. Replicas of the domain get nothing new at once. A primary serves until 92% of the bound and is replaced meanwhile by the upstream elsewhere that has received all that the primary had acknowledged when asked. At the bound open transactions are rolled back and their connections closed; what was not sent runs elsewhere, or is refused with a time to come back.

Ruled out: marking registrations as draining (a drained primary is replaced by whoever is furthest, which may lose acknowledged writes, and serves 4 s from the view instead of from the acknowledgement).

--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,11 +1,16 @@
 //! Members of the fleet and the assignment of groups, accounts and store reads to them.
 
 mod assignment;
+mod evacuations;
 mod member;
 mod member_list;
 mod ranking;
 
 pub use assignment::Assignment;
+pub use evacuations::Cutoff;
+pub use evacuations::EvacuationChange;
+pub use evacuations::EvacuationState;
+pub use evacuations::Evacuations;
 pub use member::Incarnation;
 pub use member::Member;
 pub use member_list::LEASE_TERM;
--- a/crates/proxy/src/group/failover.rs
+++ b/crates/proxy/src/group/failover.rs
@@ -63,6 +63,8 @@
     /// Time from which a claim in advance may be tried again.
     claim_after: BootInstant,
     no_primary_since: Option<BootInstant>,
+    /// Position that the new primary must have received, if the old one is replaced while it works.
+    floor: Option<Position>,
 }
 
 impl Failover {
@@ -77,6 +79,7 @@
             paused_until: BootInstant::default(),
             claim_after: BootInstant::default(),
             no_primary_since: None,
+            floor: None,
         }
     }
 
@@ -240,16 +243,16 @@
             if now.since(since) < NO_PRIMARY_TIMEOUT || contacts.is_empty() {
                 return None;
             }
+            self.floor = None;
             return Some(self.start_choice(now));
         };
         let contact = contacts.iter().find(|c| c.registration.name == *primary)?;
-        if contact.registration.draining && has_candidate(primary, contacts) {
+        let suspect = is_suspect(contact);
+        self.floor = contact.position.filter(|_| contact.evacuated && !suspect);
+        if contact.is_departing() && has_candidate(primary, contacts) {
             return Some(self.start_choice(now));
         }
-        if contact
-            .failing
-            .is_some_and(|failing| failing >= SUSPECT_AFTER)
-        {
+        if suspect {
             self.stage = Stage::AskingPeers { since: now };
             return Some(Action::AskPeers(primary.clone()));
         }
@@ -257,6 +260,8 @@
     }
 
     /// Promotes the upstream with the highest received log position, a draining one only if no other is left.
+    ///
+    /// While an evacuated primary works, none is promoted that lacks what the primary has acknowledged.
     fn choose(
         &mut self,
         primary: Option<&UpstreamName>,
@@ -264,6 +269,7 @@
         now: BootInstant,
     ) -> Option<Action> {
         let chosen = candidates(primary, contacts)
+            .filter(|(received, ..)| self.floor.is_none_or(|floor| *received >= floor))
             .max_by_key(|(received, draining, _)| (!draining, *received))
             .map(|(_, _, name)| name);
         let Some(chosen) = chosen else {
@@ -291,18 +297,24 @@
 fn needs_failover(primary: &UpstreamName, contacts: &[Contact]) -> bool {
     contacts.iter().any(|contact| {
         contact.registration.name == *primary
-            && (contact.failing.is_some() || contact.registration.draining)
+            && (contact.failing.is_some() || contact.is_departing())
     })
 }
 
 fn has_candidate(primary: &UpstreamName, contacts: &[Contact]) -> bool {
     contacts.iter().any(|contact| {
         contact.registration.name != *primary
-            && !contact.registration.draining
+            && !contact.is_departing()
             && contact.failing.is_none()
     })
 }
 
+/// Tells whether an upstream has been failing for so long that other vms are asked about it.
+fn is_suspect(contact: &Contact) -> bool {
+    let failing = contact.failing;
+    failing.is_some_and(|failing| failing >= SUSPECT_AFTER)
+}
+
 /// Returns the upstreams that can be promoted: received position, whether it is draining, name.
 fn candidates<'a>(
     primary: Option<&'a UpstreamName>,
@@ -311,7 +323,10 @@
     contacts.iter().filter_map(move |contact| {
         let name = &contact.registration.name;
         let (status, age) = contact.status?;
-        let usable = primary != Some(name) && contact.failing.is_none() && age <= MAX_STATUS_AGE;
+        let usable = primary != Some(name)
+            && !contact.evacuated
+            && contact.failing.is_none()
+            && age <= MAX_STATUS_AGE;
         usable.then(|| {
             let draining = contact.registration.draining;
             (status.received, draining, name.clone())
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -8,7 +8,9 @@
 mod candidate;
 mod connection;
 mod connection_loss;
+mod departure;
 mod dispatch;
+mod evacuation;
 mod expiry;
 mod input;
 mod known_primary;
@@ -43,6 +45,8 @@
 pub use crate::pool::candidate::Eligibility;
 use crate::pool::connection::Connection;
 pub use crate::pool::connection::ConnectionId;
+pub use crate::pool::departure::Availability;
+pub use crate::pool::departure::Departure;
 pub use crate::pool::input::Input;
 pub use crate::pool::input::OpenFailure;
 use crate::pool::known_primary::KnownPrimary;
@@ -145,7 +149,13 @@
             }
             Input::Lost(connection) => self.lost(connection, now),
             Input::Closed(connection) => self.closed(connection),
-            Input::Upstreams(registrations) => self.register(registrations, now),
+            Input::Upstreams {
+                registrations,
+                evacuated,
+            } => {
+                self.register(registrations, now);
+                self.evacuate(&evacuated, now);
+            }
             Input::Share {
                 connections,
                 home,
--- a/crates/proxy/src/pool/candidate.rs
+++ b/crates/proxy/src/pool/candidate.rs
@@ -16,6 +16,8 @@
     Unreachable,
     /// It is leaving the group.
     Leaving,
+    /// Its failure domain is evacuated.
+    Evacuated,
     /// It is not the primary, which the unit needs.
     NotPrimary,
     /// Its log has probably not reached the position that the unit must see.
@@ -43,6 +45,7 @@
             Eligibility::Eligible => write!(f, "serves")?,
             Eligibility::Unreachable => write!(f, "unreachable")?,
             Eligibility::Leaving => write!(f, "leaving")?,
+            Eligibility::Evacuated => write!(f, "evacuated")?,
             Eligibility::NotPrimary => write!(f, "follows")?,
             Eligibility::Behind { lag: Some(lag) } => write!(f, "behind_{}ms", millis(lag))?,
             Eligibility::Behind { lag: None } => write!(f, "behind")?,
--- a/crates/proxy/src/pool/input.rs
+++ b/crates/proxy/src/pool/input.rs
@@ -1,10 +1,13 @@
 //! Events that a pool handles.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
+use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::position::Position;
 
+use crate::fleet::Cutoff;
 use crate::pool::connection::ConnectionId;
 use crate::pool::unit_id::UnitId;
 use crate::pool::upstream::Registration;
@@ -60,7 +63,12 @@
     /// The upstream confirmed the end of a connection that the pool closed.
     Closed(ConnectionId),
     /// Complete list of the group's registered upstreams.
-    Upstreams(Vec<Registration>),
+    Upstreams {
+        /// Their registrations.
+        registrations: Vec<Registration>,
+        /// Upstreams in evacuated domains, with the time from which nothing may reach them.
+        evacuated: BTreeMap<UpstreamName, Cutoff>,
+    },
     /// This vm's share of the group's connections.
     Share {
         /// Connections that this vm may hold at each upstream.
--- a/crates/proxy/src/pool/output.rs
+++ b/crates/proxy/src/pool/output.rs
@@ -121,6 +121,8 @@
 /// Reason for which an attempt at an upstream ended without a result.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryReason {
+    /// The upstream's domain is evacuated, so nothing more may be sent to it.
+    Evacuated,
     /// The upstream refused the unit, or failed a read that may be repeated.
     Refused(Code),
     /// The connection was lost, closed with its upstream's registration, or could not be opened.
--- a/crates/proxy/src/pool/placement.rs
+++ b/crates/proxy/src/pool/placement.rs
@@ -13,6 +13,7 @@
 use crate::pool::candidate::Eligibility;
 use crate::pool::connection::ConnectionId;
 use crate::pool::connection::Stage;
+use crate::pool::departure::Availability;
 use crate::pool::pending_unit::PendingUnit;
 use crate::pool::unit_id::UnitId;
 use crate::pool::upstream::Upstream;
@@ -172,8 +173,10 @@
         if !upstream.is_usable(now) {
             return Eligibility::Unreachable;
         }
-        if !upstream.accepts_work(is_primary, now) {
-            return Eligibility::Leaving;
+        match upstream.departure.availability(is_primary, now) {
+            Availability::Available => {}
+            Availability::Leaving => return Eligibility::Leaving,
+            Availability::Evacuated => return Eligibility::Evacuated,
         }
         match need {
             _ if is_primary => Eligibility::Eligible,
--- a/crates/proxy/src/pool/state.rs
+++ b/crates/proxy/src/pool/state.rs
@@ -19,6 +19,10 @@
 pub struct Contact {
     /// Its registration.
     pub registration: Registration,
+    /// Whether its failure domain is evacuated.
+    pub evacuated: bool,
+    /// Log position that it last reported.
+    pub position: Option<Position>,
     /// Time since its last answer.
     pub silence: Duration,
     /// Time since the first failure after its last answer; none while it answers.
@@ -27,6 +31,14 @@
     pub status: Option<(UpstreamStatus, Duration)>,
 }
 
+impl Contact {
+    /// Tells whether another upstream is to take its place as primary.
+    #[must_use]
+    pub fn is_departing(&self) -> bool {
+        self.evacuated || self.registration.draining
+    }
+}
+
 /// State of a pool, serialized into state dumps.
 #[derive(Debug, Clone, Serialize)]
 pub struct PoolState {
@@ -49,6 +61,8 @@
     pub units: usize,
     /// Number of connections by upstream.
     pub connections: BTreeMap<UpstreamName, usize>,
+    /// Evacuated upstreams, with the number of statements that this vm still runs there.
+    pub evacuated: BTreeMap<UpstreamName, usize>,
     /// Last known applied log position of each upstream.
     pub applied: BTreeMap<UpstreamName, Option<Position>>,
     /// Mean time for which a statement holds a slot, in microseconds.
@@ -74,6 +88,8 @@
             .values()
             .map(|upstream| Contact {
                 registration: upstream.registration.clone(),
+                evacuated: upstream.departure.is_evacuated(),
+                position: upstream.applied,
                 silence: now.since(upstream.last_answer),
                 failing: upstream.failing_since.map(|at| now.since(at)),
                 status: upstream.status.map(|(s, at)| (s, now.since(at))),
@@ -103,6 +119,12 @@
         for connection in self.connections.values() {
             *connections.entry(connection.upstream.clone()).or_default() += 1;
         }
+        let running = |name: &UpstreamName| {
+            let held = self.connections.values().filter(|c| c.upstream == *name);
+            held.filter(|c| c.unit_id.is_some()).count()
+        };
+        let evacuated = self.upstreams.iter();
+        let evacuated = evacuated.filter(|(_, upstream)| upstream.departure.is_evacuated());
         let applied = self.upstreams.iter();
         PoolState {
             primary: self.primary.upstream().cloned(),
@@ -113,6 +135,7 @@
             waiting: self.waiting.len(),
             units: self.units.len(),
             connections,
+            evacuated: evacuated.map(|(n, _)| (n.clone(), running(n))).collect(),
             applied: applied.map(|(n, u)| (n.clone(), u.applied)).collect(),
             service_us: self.service_times.mean().as_micros(),
         }
--- a/crates/proxy/src/pool/status_poll.rs
+++ b/crates/proxy/src/pool/status_poll.rs
@@ -63,9 +63,13 @@
 
     /// Queries an upstream's status, on a new connection if none is idle.
     pub(super) fn ask_status(&mut self, name: &UpstreamName, now: BootInstant) {
+        let is_primary = self.primary.upstream() == Some(name);
         let Some(upstream) = self.upstreams.get_mut(name) else {
             return;
         };
+        if upstream.departure.is_evacuated() && !upstream.accepts_work(is_primary, now) {
+            return;
+        }
         upstream.last_asked = now;
         let may_open = upstream.may_open(now);
         let idle = self
--- a/crates/proxy/src/pool/steps.rs
+++ b/crates/proxy/src/pool/steps.rs
@@ -59,7 +59,13 @@
     }
 
     /// Sends the next query of a connection, or marks the connection as idle if there is none.
+    ///
+    /// If its upstream is evacuated by now, the connection is closed instead.
     pub(super) fn send_next(&mut self, id: ConnectionId, now: BootInstant) {
+        if self.is_cut_off(id, now) {
+            self.withdraw(id, now);
+            return;
+        }
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
--- a/crates/proxy/src/pool/tick.rs
+++ b/crates/proxy/src/pool/tick.rs
@@ -11,6 +11,7 @@
 impl Pool {
     /// Checks timeouts, closes surplus connections and, at the home, polls the upstreams' status.
     pub(super) fn tick(&mut self, now: BootInstant) {
+        self.withdraw_connections(now);
         self.expire_connections(now);
         self.expire_waiting(now);
         self.close_surplus(now);
--- a/crates/proxy/src/pool/upstream.rs
+++ b/crates/proxy/src/pool/upstream.rs
@@ -13,6 +13,8 @@
 
 use crate::clock::BootInstant;
 use crate::pool::connection::ConnectionId;
+use crate::pool::departure::Availability;
+use crate::pool::departure::Departure;
 
 /// Backoff after the first failure to reach an upstream; it doubles with each further failure.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
@@ -22,10 +24,6 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time without new connections after an upstream reached its connection limit.
 const FULL_BACKOFF: Duration = Duration::from_millis(250);
-/// Time for which a primary still gets work after its registration says that it is leaving.
-///
-/// The shortest drain bound is 7 s, and the registration may be 2 s old.
-const LEAVING_PRIMARY_TIME: Duration = Duration::from_secs(4);
 /// Time after which an upstream that is missing from the list is dropped.
 ///
 /// A registration may lapse in an outage and come back within 2 s of the outage's end.
@@ -100,8 +98,8 @@
     full_until: BootInstant,
     /// Closed connections that it may still count, with the time of closing.
     closing: BTreeMap<ConnectionId, BootInstant>,
-    /// When its registration first said that it is leaving.
-    leaving_since: Option<BootInstant>,
+    /// Why it is to be left alone, if it is.
+    pub(super) departure: Departure,
     /// When it was first missing from the list.
     unlisted_since: Option<BootInstant>,
     /// When a status query was last sent or tried.
@@ -121,7 +119,7 @@
             backoff_until: BootInstant::default(),
             full_until: BootInstant::default(),
             closing: BTreeMap::new(),
-            leaving_since: None,
+            departure: Departure::default(),
             unlisted_since: None,
             last_asked: BootInstant::default(),
         }
@@ -130,10 +128,11 @@
     /// Applies its registration from the list.
     pub(super) fn register(&mut self, registration: Registration, now: BootInstant) {
         self.unlisted_since = None;
+        let leaving = &mut self.departure.leaving_since;
         if registration.draining {
-            self.leaving_since.get_or_insert(now);
+            leaving.get_or_insert(now);
         } else {
-            self.leaving_since = None;
+            *leaving = None;
         }
         self.registration = registration;
     }
@@ -144,12 +143,9 @@
         now.since(since) >= UNLISTED_TIMEOUT
     }
 
-    /// Tells whether it may be given new work; a leaving primary may for a while, until replaced.
+    /// Tells whether it may be given new work; a primary may for a while, until replaced.
     pub(super) fn accepts_work(&self, is_primary: bool, now: BootInstant) -> bool {
-        match self.leaving_since {
-            None => true,
-            Some(since) => is_primary && now.since(since) < LEAVING_PRIMARY_TIME,
-        }
+        self.departure.availability(is_primary, now) == Availability::Available
     }
 
     /// Records an answer and the position in it; returns whether it was unreachable before.
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -59,6 +59,15 @@
     pub upstreams: Vec<Contact>,
 }
 
+impl Contacts {
+    /// Tells whether the known primary is in an evacuated domain.
+    #[must_use]
+    pub fn is_primary_evacuated(&self) -> bool {
+        let mut evacuated = self.upstreams.iter().filter(|contact| contact.evacuated);
+        evacuated.any(|contact| Some(&contact.registration.name) == self.primary.as_ref())
+    }
+}
+
 /// Channels to a pool's task.
 #[derive(Debug, Clone)]
 pub struct PoolHandle {
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -10,10 +10,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Part of the withdrawal bound up to which a view may be acted on, in percent.
+/// Part of a bound of the operators that is used, in percent.
 ///
 /// The rest covers the clocks' resolution and the first bytes of a request.
-const VIEW_TTL_PERCENT: u32 = 92;
+const BOUND_PERCENT: u32 = 92;
 /// Minimum weight of a vm, in thousandths of a core.
 const MIN_WEIGHT: f64 = 1.0;
 
@@ -51,6 +51,14 @@
     pub grace_ms: u32,
     /// Window in which operators count an account's rate and burst, 500 to 600,000.
     pub rate_window_ms: u32,
+    /// Time from the evacuation of a domain until nothing reaches its upstreams, 500 to 600,000.
+    #[serde(default = "default_evacuation_ms")]
+    pub evacuation_ms: u32,
+}
+
+/// Returns the bound that operators give who name none.
+fn default_evacuation_ms() -> u32 {
+    5_000
 }
 
 /// Settings of one vm.
@@ -75,7 +83,13 @@
     /// Returns the age up to which a view may be acted on.
     #[must_use]
     pub fn view_ttl(&self) -> Duration {
-        Duration::from_millis(self.bounds.withdrawal_ms.into()) * VIEW_TTL_PERCENT / 100
+        Duration::from_millis(self.bounds.withdrawal_ms.into()) * BOUND_PERCENT / 100
+    }
+
+    /// Returns the time from the evacuation of a domain until nothing is sent to its upstreams.
+    #[must_use]
+    pub fn evacuation(&self) -> Duration {
+        Duration::from_millis(self.bounds.evacuation_ms.into()) * BOUND_PERCENT / 100
     }
 
     /// Returns the time from the request to stop to the end of the process.
@@ -109,6 +123,7 @@
             ("bounds.withdrawal_ms", self.bounds.withdrawal_ms),
             ("bounds.grace_ms", self.bounds.grace_ms),
             ("bounds.rate_window_ms", self.bounds.rate_window_ms),
+            ("bounds.evacuation_ms", self.bounds.evacuation_ms),
         ];
         for (key, value) in times {
             if !allowed.contains(&value) {
--- a/crates/proxy/src/snapshot.rs
+++ b/crates/proxy/src/snapshot.rs
@@ -1,8 +1,10 @@
 //! Snapshot of the platform's store: configuration, upstreams and vms.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::GroupName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,6 +29,9 @@
     pub upstreams: Arc<BTreeMap<GroupName, Vec<Registration>>>,
     /// Vms with a valid lease, ordered by name.
     pub members: Arc<Vec<Member>>,
+    /// Failure domains whose upstreams the operators want to be left alone.
+    #[serde(default)]
+    pub evacuated: Arc<BTreeSet<DomainName>>,
 }
 
 /// Part of a snapshot besides the configuration.
@@ -37,6 +42,9 @@
     pub upstreams: Arc<BTreeMap<GroupName, Vec<Registration>>>,
     /// Vms with a valid lease, ordered by name.
     pub members: Arc<Vec<Member>>,
+    /// Failure domains whose upstreams the operators want to be left alone.
+    #[serde(default)]
+    pub evacuated: Arc<BTreeSet<DomainName>>,
 }
 
 impl Snapshot {
@@ -46,14 +54,16 @@
         Arc::ptr_eq(&self.configuration, &other.configuration)
             && Arc::ptr_eq(&self.upstreams, &other.upstreams)
             && Arc::ptr_eq(&self.members, &other.members)
+            && Arc::ptr_eq(&self.evacuated, &other.evacuated)
     }
 
-    /// Returns the upstreams and members.
+    /// Returns everything but the configuration.
     #[must_use]
     pub fn topology(&self) -> Topology {
         Topology {
             upstreams: Arc::clone(&self.upstreams),
             members: Arc::clone(&self.members),
+            evacuated: Arc::clone(&self.evacuated),
         }
     }
 
@@ -64,6 +74,7 @@
             configuration: Arc::clone(&self.configuration),
             upstreams: topology.upstreams,
             members: topology.members,
+            evacuated: topology.evacuated,
         }
     }
 
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -119,6 +119,7 @@
         platform: Arc::clone(&platform),
         vm_metrics: Arc::clone(&vm_metrics),
         timer: timer.clone(),
+        evacuation: settings.evacuation(),
     });
     let dump = steward.clone();
     Admin::new(lifecycle.clone(), metrics, move || {
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -17,6 +17,7 @@
 use mustardbay_policy::names::AccountName;
 use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::GroupName;
+use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::names::VmName;
 use mustardbay_process::timer::Timer;
 use serde_json::Value;
@@ -25,6 +26,9 @@
 
 use crate::clock::BootInstant;
 use crate::fleet::Assignment;
+use crate::fleet::Cutoff;
+use crate::fleet::EvacuationChange;
+use crate::fleet::Evacuations;
 use crate::group::Event;
 use crate::group::Failover;
 use crate::latest_view::FleetView;
@@ -34,6 +38,7 @@
 use crate::platform::LeaseId;
 use crate::platform::Platform;
 use crate::pool::Input;
+use crate::pool::Registration;
 use crate::runner;
 use crate::runner::Contacts;
 use crate::runner::PoolHandle;
@@ -58,6 +63,8 @@
     pub(super) platform: Arc<dyn Platform>,
     pub(super) vm_metrics: Arc<VmMetrics>,
     pub(super) timer: Timer,
+    /// Time from the start of an evacuation until nothing reaches the domain's upstreams.
+    pub(super) evacuation: Duration,
 }
 
 /// Pool and failover of one group.
@@ -76,12 +83,14 @@
     start_pool: fn(GroupName, &Deps) -> PoolHandle,
     groups: BTreeMap<GroupName, WatchedGroup>,
     granting: Granting,
+    evacuations: Evacuations,
 }
 
 /// Starts the steward of a vm.
 pub(super) fn start<W: Wire>(deps: Deps) -> ActorRef<Steward> {
     let mut ticks = deps.timer.every(CHECK_INTERVAL);
     let steward = Steward::spawn(Steward {
+        evacuations: Evacuations::new(deps.evacuation),
         deps: Arc::new(deps),
         start_pool: |group, deps| {
             let handler = Arc::clone(&deps.handler);
@@ -251,6 +260,7 @@
             "lease_holds": self.deps.vm_lease.is_valid(now),
             "configuration_version": view.as_ref().map(|view| view.snapshot.configuration.version),
             "belief_age_ms": view.as_ref().map(|view| view.age(now).as_millis()),
+            "evacuated": self.evacuations.state(now),
             "members": view.as_ref().map(|view| Arc::clone(&view.snapshot.members)),
             "granting": self.granting.dump(now),
             "pools": pools,
@@ -266,6 +276,7 @@
         let Some(assignment) = deps.latest_view.assignment() else {
             return;
         };
+        self.update_evacuations(view);
         let status_account: Option<AccountName> =
             snapshot.configuration.accounts.keys().next().cloned();
         for (group, limits) in &snapshot.configuration.groups {
@@ -273,6 +284,8 @@
             let rank = ranking.rank_of(&deps.me);
             let connections = ranking.share(&deps.me, limits.connections);
             let home = rank == Some(0);
+            let registrations = snapshot.upstreams.get(group).cloned().unwrap_or_default();
+            let evacuated = self.evacuated_among(&registrations);
             let watched = self.watched_group(group);
             if watched.home != home {
                 tracing::info!(event = "home_changed", group = %group, home, rank, connections);
@@ -282,9 +295,11 @@
                     promotion::release(&deps, group.clone(), token);
                 }
             }
-            let upstreams = snapshot.upstreams.get(group).cloned().unwrap_or_default();
             let inputs = [
-                Input::Upstreams(upstreams),
+                Input::Upstreams {
+                    registrations,
+                    evacuated,
+                },
                 Input::Share {
                     connections,
                     home,
@@ -300,6 +315,33 @@
         self.assign_accounts(view, &assignment, steward);
     }
 
+    /// Updates which domains are evacuated.
+    fn update_evacuations(&mut self, view: &FleetView) {
+        let listed = &view.snapshot.evacuated;
+        let age_ms = view.age(BootInstant::now()).as_millis();
+        for change in self.evacuations.update(listed, view.asked) {
+            match change {
+                EvacuationChange::Started(domain, cutoff) => {
+                    let serves = cutoff.0.since(BootInstant::now());
+                    tracing::info!(event = "evacuation_started", domain = %domain, age_ms,
+                        serves_ms = serves.as_millis());
+                }
+                EvacuationChange::Ended(domain) => {
+                    tracing::info!(event = "evacuation_ended", domain = %domain, age_ms);
+                }
+            }
+        }
+    }
+
+    /// Returns the upstreams in evacuated domains, with the time from which nothing may reach them.
+    fn evacuated_among(&self, registrations: &[Registration]) -> BTreeMap<UpstreamName, Cutoff> {
+        let evacuated = registrations.iter().filter_map(|registration| {
+            let cutoff = self.evacuations.cutoff(&registration.domain)?;
+            Some((registration.name.clone(), cutoff))
+        });
+        evacuated.collect()
+    }
+
     /// Updates which accounts this vm grants, and asks the vms that granted them before to stop.
     fn assign_accounts(
         &mut self,
--- a/crates/proxy/src/vm/steward/promotion.rs
+++ b/crates/proxy/src/vm/steward/promotion.rs
@@ -42,7 +42,8 @@
         if action == Action::AskStatus {
             tracing::debug!(event = "succession", group = %group, action = ?action);
         } else {
-            tracing::info!(event = "succession", group = %group, action = ?action);
+            let evacuated = contacts.is_some_and(Contacts::is_primary_evacuated);
+            tracing::info!(event = "succession", group = %group, action = ?action, evacuated);
         }
         match action {
             Action::AskStatus => self.ask_statuses(&group),
--- a/crates/proxy/src/vm_metrics.rs
+++ b/crates/proxy/src/vm_metrics.rs
@@ -77,8 +77,9 @@
         }
     }
 
-    /// Registers gauges for the age of the view and the remaining time of the lease.
+    /// Registers gauges for the view's age, its evacuated domains and the remaining time of the lease.
     pub fn watch_view_age(meter: &Meter, latest_view: Arc<LatestView>, lease: Arc<VmLease>) {
+        let evacuated = Arc::clone(&latest_view);
         meter
             .f64_observable_gauge("mustardbay_configuration_age_seconds")
             .with_callback(move |gauge| {
@@ -87,6 +88,14 @@
                 }
             })
             .build();
+        meter
+            .u64_observable_gauge("mustardbay_evacuated_domains")
+            .with_callback(move |gauge| {
+                if let Some(view) = evacuated.view() {
+                    gauge.observe(view.snapshot.evacuated.len() as u64, &[]);
+                }
+            })
+            .build();
         meter
             .f64_observable_gauge("mustardbay_lease_left_seconds")
             .with_callback(move |gauge| {
--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -40,6 +40,8 @@
             role: Role::Replica,
             incarnation: 1,
         },
+        evacuated: false,
+        position: Some(Position::new(1, received)),
         silence: Duration::ZERO,
         failing: None,
         status: Some((status, Duration::ZERO)),
@@ -226,3 +228,66 @@
     let next = failover.tick(None, &contacts, at(950));
     assert_eq!(next, Some(Action::AskStatus));
 }
+
+fn evacuated(contact: Contact) -> Contact {
+    Contact {
+        evacuated: true,
+        ..contact
+    }
+}
+
+/// Returns what a failover does at 150 ms with statuses that it requested at 0 ms.
+fn replaced_primary(contacts: &[Contact]) -> Option<Action> {
+    let primary = name("u0");
+    let mut failover = with_token(&primary, contacts, 7);
+    failover.tick(Some(&primary), contacts, at(0));
+    failover.tick(Some(&primary), contacts, at(150))
+}
+
+#[test]
+fn evacuated_primary_is_replaced_by_a_replica_that_has_received_all() {
+    let contacts = [
+        evacuated(contact("u0", 100)),
+        contact("u1", 90),
+        contact("u2", 100),
+    ];
+    let promoted = replaced_primary(&contacts);
+    assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(7))));
+}
+
+/// What the evacuated primary has acknowledged would be lost, though nothing is broken.
+#[test]
+fn evacuated_primary_stays_while_no_replica_has_received_all() {
+    let contacts = [
+        evacuated(contact("u0", 100)),
+        contact("u1", 90),
+        contact("u2", 99),
+    ];
+    assert_eq!(replaced_primary(&contacts), None);
+}
+
+#[test]
+fn evacuated_primary_that_fails_is_replaced_by_the_most_advanced_replica() {
+    let contacts = [
+        evacuated(failing("u0")),
+        contact("u1", 90),
+        contact("u2", 99),
+    ];
+    let promoted = replaced_primary(&contacts);
+    assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(7))));
+}
+
+#[test]
+fn evacuated_replica_is_never_chosen() {
+    let contacts = [
+        failing("u0"),
+        contact("u1", 90),
+        evacuated(contact("u2", 95)),
+    ];
+    let mut failover = collecting_statuses(&contacts);
+    let promoted = failover.tick(Some(&name("u0")), &contacts, at(300));
+    assert_eq!(promoted, Some(Action::Promote(name("u1"), FencingToken(7))));
+    let contacts = [failing("u0"), evacuated(contact("u2", 95))];
+    let mut failover = collecting_statuses(&contacts);
+    assert_eq!(failover.tick(Some(&name("u0")), &contacts, at(300)), None);
+}
--- a/crates/proxy/tests/latest_view.rs
+++ b/crates/proxy/tests/latest_view.rs
@@ -51,6 +51,7 @@
         configuration: Arc::new(configuration),
         upstreams: Arc::default(),
         members: Arc::default(),
+        evacuated: Arc::default(),
     };
     let fingerprint = snapshot.fingerprint().expect("it can be encoded");
     FleetView {
--- a/crates/proxy/tests/pool.rs
+++ b/crates/proxy/tests/pool.rs
@@ -1,5 +1,7 @@
 //! Tests of the pool's decisions, run against simulated upstreams in virtual time.
 
+#[path = "pool/evacuation.rs"]
+mod evacuation;
 #[path = "pool/faults.rs"]
 mod faults;
 #[path = "pool/load.rs"]
--- a/crates/proxy/tests/pool/simulation.rs
+++ b/crates/proxy/tests/pool/simulation.rs
@@ -9,6 +9,7 @@
 use mustardbay_policy::position::Position;
 use mustardbay_policy::position::Term;
 use mustardbay_proxy::clock::BootInstant;
+use mustardbay_proxy::fleet::Cutoff;
 use mustardbay_proxy::pool::Command;
 use mustardbay_proxy::pool::ConnectionId;
 use mustardbay_proxy::pool::Input;
@@ -87,6 +88,8 @@
     pub opened: usize,
     /// Log events of the pool.
     pub notes: Vec<Note>,
+    /// Upstreams in evacuated domains, with the time from which nothing may reach them.
+    evacuated: BTreeMap<UpstreamName, Cutoff>,
     next_unit: u64,
 }
 
@@ -137,6 +140,7 @@
             done: BTreeMap::new(),
             opened: 0,
             notes: Vec::new(),
+            evacuated: BTreeMap::new(),
             next_unit: 0,
         };
         sim.feed(Input::Share {
@@ -161,7 +165,19 @@
             incarnation: 1,
         });
         let registrations = registrations.collect();
-        self.feed(Input::Upstreams(registrations));
+        let evacuated = self.evacuated.clone();
+        self.feed(Input::Upstreams {
+            registrations,
+            evacuated,
+        });
+    }
+
+    /// Evacuates the domains of upstreams; nothing may reach them after `serves`.
+    pub fn evacuate(&mut self, upstreams: &[usize], serves: Duration) {
+        let cutoff = Cutoff(self.now.after(serves));
+        let evacuated = upstreams.iter().map(|index| (name(*index), cutoff));
+        self.evacuated = evacuated.collect();
+        self.register(&[]);
     }
 
     pub fn upstream(&mut self, index: usize) -> &mut FakeUpstream {
--- a/crates/proxy/tests/router.rs
+++ b/crates/proxy/tests/router.rs
@@ -247,6 +247,7 @@
         configuration: Arc::new(configuration),
         upstreams: Arc::default(),
         members: Arc::new(members),
+        evacuated: Arc::default(),
     };
     FleetView {
         fingerprint: snapshot.fingerprint().expect("it can be encoded"),
