Order everything of the store by era and revision

Cause: a store that comes back from an older copy counts its revisions again.

A lease is of one era: in a later one the vm joins again. Views carry their era. The first view of a new era is not put in force for 2 s, while the old one ages on: in that time operators and upstreams write again and vms join again, so homes and authorities stay. A configuration never reverts, as before. A vm that hears of the restore late takes the view of one that has waited.

Ruled out: tokens kept in members' memory (a vm that starts has none); waiting for a rewritten configuration (its revision can be that of the copy); each vm waiting 2 s from its own first sight (a vm without the readers' view reached the age at which it refuses; site::withdrawn_key_stays_withdrawn_over_a_restore failed with it).

--- a/crates/proxy/src/latest_view.rs
+++ b/crates/proxy/src/latest_view.rs
@@ -10,10 +10,17 @@
 use crate::clock::BootInstant;
 use crate::fleet::Assignment;
 use crate::fleet::MemberList;
+use crate::platform::Era;
 use crate::snapshot::Fingerprint;
 use crate::snapshot::Snapshot;
 use crate::sync::lock;
 
+/// Time after the first answer of a restored store in which what its copy lacks is written again.
+///
+/// Operators and upstreams write again within 2 s of the store's return, and vms join again with
+/// their next renewal.
+pub const RESTORE_SETTLE: Duration = Duration::from_secs(2);
+
 /// Snapshot of the store, with the time at which it was requested.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FleetView {
@@ -23,6 +30,8 @@
     pub fingerprint: Fingerprint,
     /// Time of the request; the snapshot's contents were in force then or later.
     pub asked: BootInstant,
+    /// Whether another vm had known the view's era for [`RESTORE_SETTLE`] when it was read.
+    pub settled: bool,
 }
 
 impl FleetView {
@@ -42,6 +51,8 @@
     assignment: ArcSwapOption<Assignment>,
     /// Notified of every view that is adopted.
     adopted: Notify,
+    /// Newest era of the store that any view was read in, with the request of the first such view.
+    newest_era: Mutex<Option<(Era, BootInstant)>>,
 }
 
 /// Result of adopting a view.
@@ -51,6 +62,8 @@
     NewVersion,
     /// The view is in force and has the same configuration.
     SameVersion,
+    /// The store has come back from an older copy; its views are adopted from this time on.
+    Settling(BootInstant),
     /// The view is older than the one in force and was dropped.
     Stale,
 }
@@ -62,6 +75,14 @@
         self.view.load_full()
     }
 
+    /// Tells whether a view's era had been known for [`RESTORE_SETTLE`] when it was read.
+    #[must_use]
+    pub fn is_settled(&self, view: &FleetView) -> bool {
+        let newest_era = lock(&self.newest_era);
+        let since = newest_era.filter(|(era, _)| *era == view.snapshot.era);
+        view.settled || since.is_some_and(|(_, since)| view.asked >= since.after(RESTORE_SETTLE))
+    }
+
     /// Waits for a view younger than `age`; returns `None` after `max_wait`.
     pub async fn wait_for_view(&self, age: Duration, max_wait: Duration) -> Option<Arc<FleetView>> {
         let fresh = async {
@@ -83,10 +104,14 @@
         self.assignment.load_full()
     }
 
-    /// Adopts a view, unless it or its configuration is older than the one in force.
+    /// Adopts a view, unless it, its era or its configuration is older than the one in force.
+    ///
+    /// A store that has come back from an older copy may lack a configuration, an evacuation or
+    /// vms that it had acknowledged. The view in force stays for [`RESTORE_SETTLE`] and ages meanwhile.
     ///
     /// Calls must not overlap; only one task of the process may adopt views.
     pub fn adopt(&self, view: FleetView) -> Adoption {
+        let settled_at = self.note_era(view.snapshot.era, view.asked);
         let old = self.view.load_full();
         let Some(old) = old else {
             self.install(view, Duration::ZERO);
@@ -94,6 +119,13 @@
         };
         let before = old.snapshot.configuration.version;
         let after = view.snapshot.configuration.version;
+        let Some(settled_at) = settled_at else {
+            return Adoption::Stale;
+        };
+        let is_settled = view.settled || view.asked >= settled_at;
+        if view.snapshot.era > old.snapshot.era && !is_settled {
+            return Adoption::Settling(settled_at);
+        }
         if after < before || view.asked <= old.asked {
             return Adoption::Stale;
         }
@@ -106,6 +138,17 @@
         }
     }
 
+    /// Records the era of a view; returns when its views may be adopted, or `None` if it is over.
+    fn note_era(&self, era: Era, asked: BootInstant) -> Option<BootInstant> {
+        let mut newest_era = lock(&self.newest_era);
+        let (newest, since) = match *newest_era {
+            Some(known) if known.0 >= era => known,
+            Some(_) | None => (era, asked),
+        };
+        *newest_era = Some((newest, since));
+        (newest == era).then(|| since.after(RESTORE_SETTLE))
+    }
+
     /// Puts a view in force that was requested `gap` after the previous one.
     fn install(&self, view: FleetView, gap: Duration) {
         let snapshot = &view.snapshot;
--- a/crates/proxy/src/link/frame.rs
+++ b/crates/proxy/src/link/frame.rs
@@ -220,6 +220,9 @@
     /// snapshot.
     #[prost(bytes = "vec", tag = "4")]
     pub topology: Vec<u8>,
+    /// Whether the sender had known the snapshot's era for long enough when it was read.
+    #[prost(bool, tag = "5")]
+    pub settled: bool,
 }
 
 /// Frame to the client side of a link.
--- a/crates/proxy/src/link_handler.rs
+++ b/crates/proxy/src/link_handler.rs
@@ -286,6 +286,7 @@
         let snapshot_reply = SnapshotReply {
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             fingerprint: view.fingerprint.0,
+            settled: self.latest_view.is_settled(&view),
             ..SnapshotReply::default()
         };
         let snapshot = &view.snapshot;
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -6,15 +6,31 @@
 use mustardbay_policy::names::GroupName;
 use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::names::VmName;
+use serde::Deserialize;
+use serde::Serialize;
 use thiserror::Error;
 
 use crate::fleet::Member;
 use crate::group::FencingToken;
 use crate::snapshot::Snapshot;
 
+/// Number of the store's history; it rises whenever the store comes back from an older copy.
+///
+/// What the store acknowledged after that copy is gone, and it gives the same revisions and ids out again.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
 /// Id of a lease in the platform's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// Era in which it was granted; a later one may give its number to another vm.
+    pub era: Era,
+    /// Number that the store gave it.
+    pub number: u64,
+}
 
 /// Failure of a call to the platform's store.
 #[derive(Debug, Error)]
--- a/crates/proxy/src/snapshot.rs
+++ b/crates/proxy/src/snapshot.rs
@@ -13,6 +13,7 @@
 
 use crate::configuration::Configuration;
 use crate::fleet::Member;
+use crate::platform::Era;
 use crate::pool::Registration;
 
 /// Hash that identifies a snapshot; never 0.
@@ -32,6 +33,9 @@
     /// Failure domains whose upstreams the operators want to be left alone.
     #[serde(default)]
     pub evacuated: Arc<BTreeSet<DomainName>>,
+    /// Era of the store in which it was read.
+    #[serde(default)]
+    pub era: Era,
 }
 
 /// Part of a snapshot besides the configuration.
@@ -45,6 +49,9 @@
     /// Failure domains whose upstreams the operators want to be left alone.
     #[serde(default)]
     pub evacuated: Arc<BTreeSet<DomainName>>,
+    /// Era of the store in which it was read.
+    #[serde(default)]
+    pub era: Era,
 }
 
 impl Snapshot {
@@ -55,6 +62,7 @@
             && Arc::ptr_eq(&self.upstreams, &other.upstreams)
             && Arc::ptr_eq(&self.members, &other.members)
             && Arc::ptr_eq(&self.evacuated, &other.evacuated)
+            && self.era == other.era
     }
 
     /// Returns everything but the configuration.
@@ -64,6 +72,7 @@
             upstreams: Arc::clone(&self.upstreams),
             members: Arc::clone(&self.members),
             evacuated: Arc::clone(&self.evacuated),
+            era: self.era,
         }
     }
 
@@ -75,6 +84,7 @@
             upstreams: topology.upstreams,
             members: topology.members,
             evacuated: topology.evacuated,
+            era: topology.era,
         }
     }
 
--- a/crates/proxy/src/vm/membership.rs
+++ b/crates/proxy/src/vm/membership.rs
@@ -74,7 +74,7 @@
             Ok(())
         }
         Err(PlatformError::LeaseEnded) => {
-            tracing::info!(event = "lease_ended", vm = %me.vm, lease = lease.0);
+            tracing::info!(event = "lease_ended", vm = %me.vm, lease = lease.number);
             vm_lease.end();
             join(me, vm_lease, platform).await
         }
@@ -92,6 +92,6 @@
     let (lease, term) = platform.lease(LEASE_TERM).await?;
     platform.join(me, lease).await?;
     vm_lease.renew(lease, asked, term);
-    tracing::info!(event = "vm_joined", vm = %me.vm, lease = lease.0);
+    tracing::info!(event = "vm_joined", vm = %me.vm, lease = lease.number, era = lease.era.0);
     Ok(())
 }
--- a/crates/proxy/src/vm/refresher.rs
+++ b/crates/proxy/src/vm/refresher.rs
@@ -65,6 +65,8 @@
     round: usize,
     /// Member list that was read before the first view.
     listed: Option<Arc<Vec<Member>>>,
+    /// Until when the store settles after it came back from an older copy.
+    settles_at: BootInstant,
     /// Whether the last read of the store succeeded.
     reachable: bool,
     backoff: StoreBackoff,
@@ -77,6 +79,7 @@
         deps,
         round: 0,
         listed: None,
+        settles_at: BootInstant::default(),
         reachable: true,
         backoff: StoreBackoff::default(),
     };
@@ -91,6 +94,10 @@
 impl Refresher {
     /// Returns the delay before the next round.
     fn delay_after(&self, succeeded: bool) -> Duration {
+        let settling = self.settles_at.since(BootInstant::now());
+        if settling > Duration::ZERO {
+            return settling;
+        }
         match (succeeded, self.deps.latest_view.view()) {
             (true, _) => REFRESH_INTERVAL,
             (false, Some(_)) => MAX_RETRY_DELAY,
@@ -196,8 +203,11 @@
                     snapshot,
                     fingerprint,
                     asked,
+                    settled: false,
                 };
-                self.deps.adopt(view, "store").await;
+                if let Adoption::Settling(until) = self.deps.adopt(view, "store").await {
+                    self.settles_at = until;
+                }
                 true
             }
             Err(e) => {
@@ -253,15 +263,22 @@
         }
     }
 
-    async fn adopt(&self, view: FleetView, source: &str) {
+    async fn adopt(&self, view: FleetView, source: &str) -> Adoption {
         let version = view.snapshot.configuration.version;
+        let era = view.snapshot.era;
         let age = BootInstant::now().since(view.asked);
-        match self.latest_view.adopt(view) {
+        let adoption = self.latest_view.adopt(view);
+        match adoption {
             Adoption::NewVersion => {
                 tracing::info!(event = "configuration_in_force", version = %version, source,
                     age_ms = age.as_millis());
             }
             Adoption::SameVersion => {}
+            Adoption::Settling(until) => {
+                tracing::warn!(event = "store_settling", era = era.0, version = %version, source,
+                    left_ms = until.since(BootInstant::now()).as_millis());
+                return adoption;
+            }
             Adoption::Stale => {
                 tracing::info!(event = "snapshot_old", version = %version, source);
             }
@@ -269,5 +286,6 @@
         if self.steward.tell(ViewChanged).await.is_err() {
             tracing::error!(event = "steward_gone");
         }
+        adoption
     }
 }
--- a/crates/proxy/src/vm/refresher/peers.rs
+++ b/crates/proxy/src/vm/refresher/peers.rs
@@ -84,6 +84,7 @@
         if let Some(known) = known.filter(|known| known.fingerprint.0 == reply.fingerprint) {
             return Some(FleetView {
                 asked: as_of,
+                settled: reply.settled,
                 ..known.clone()
             });
         }
@@ -140,6 +141,7 @@
 ) -> Option<FleetView> {
     let as_of = asked.before(Duration::from_millis(reply.age_ms));
     let fingerprint = Fingerprint(reply.fingerprint);
+    let settled = reply.settled;
     let known = known.map(|known| known.snapshot.clone());
     let decoded =
         tokio::task::spawn_blocking(move || decode_snapshot(&reply, known.as_ref())).await;
@@ -148,6 +150,7 @@
             snapshot,
             fingerprint,
             asked: as_of,
+            settled,
         }),
         Ok(Err(e)) => {
             tracing::warn!(event = "snapshot_unreadable", vm = %vm, error = %e);
--- a/crates/proxy/tests/latest_view.rs
+++ b/crates/proxy/tests/latest_view.rs
@@ -18,6 +18,7 @@
 use mustardbay_proxy::latest_view::Adoption;
 use mustardbay_proxy::latest_view::FleetView;
 use mustardbay_proxy::latest_view::LatestView;
+use mustardbay_proxy::platform::Era;
 use mustardbay_proxy::snapshot::Snapshot;
 use mustardbay_proxy::work::Guarantee;
 use test_case::test_case;
@@ -52,12 +53,14 @@
         upstreams: Arc::default(),
         members: Arc::default(),
         evacuated: Arc::default(),
+        era: Era(1),
     };
     let fingerprint = snapshot.fingerprint().expect("it can be encoded");
     FleetView {
         snapshot,
         fingerprint,
         asked: at(asked),
+        settled: false,
     }
 }
 
@@ -72,6 +75,51 @@
     assert_eq!(latest_view.adopt(view(version, asked)), expected);
 }
 
+fn view_of_era(era: u64, version: u64, asked: u64) -> FleetView {
+    let mut view = view(version, asked);
+    view.snapshot.era = Era(era);
+    view
+}
+
+/// What the copy of a restored store lacks is written again before its views are adopted.
+#[test]
+fn adopt_waits_until_a_restored_store_has_settled() {
+    let latest_view = LatestView::default();
+    latest_view.adopt(view(7, 100));
+    let settled = at(3_000);
+    let early = latest_view.adopt(view_of_era(2, 6, 1_000));
+    assert_eq!(early, Adoption::Settling(settled));
+    let early = latest_view.adopt(view_of_era(2, 8, 2_999));
+    assert_eq!(early, Adoption::Settling(settled));
+    let late = latest_view.adopt(view(9, 2_500));
+    assert_eq!(late, Adoption::Stale, "a view of the era that is over");
+    let older = latest_view.adopt(view_of_era(2, 6, 3_000));
+    assert_eq!(older, Adoption::Stale, "the configuration never reverts");
+    assert_eq!(latest_view.view().map(|view| view.asked), Some(at(100)));
+    let same = latest_view.adopt(view_of_era(2, 7, 3_100));
+    assert_eq!(same, Adoption::SameVersion);
+    let next = latest_view.adopt(view_of_era(3, 8, 3_200));
+    assert_eq!(next, Adoption::Settling(at(5_200)));
+}
+
+/// A vm that hears of a restore late need not wait once more for what another vm has waited for.
+#[test]
+fn adopt_takes_a_settled_view_of_another_vm() {
+    let latest_view = LatestView::default();
+    latest_view.adopt(view(7, 100));
+    latest_view.adopt(view_of_era(2, 7, 1_000));
+    let mut settled = view_of_era(2, 7, 1_100);
+    settled.settled = true;
+    assert_eq!(latest_view.adopt(settled), Adoption::SameVersion);
+}
+
+#[test]
+fn adopt_takes_the_first_view_of_any_era() {
+    let latest_view = LatestView::default();
+    let first = latest_view.adopt(view_of_era(5, 7, 100));
+    assert_eq!(first, Adoption::NewVersion);
+}
+
 #[test_case(4_599, true; "just_young_enough")]
 #[test_case(4_600, false; "too_old")]
 fn fresh_view_depends_on_age(age: u64, expected: bool) {
--- a/crates/proxy/tests/rates.rs
+++ b/crates/proxy/tests/rates.rs
@@ -15,6 +15,7 @@
 use mustardbay_policy::names::VmName;
 use mustardbay_proxy::clock::BootInstant;
 use mustardbay_proxy::configuration::Account;
+use mustardbay_proxy::platform::Era;
 use mustardbay_proxy::platform::LeaseId;
 use mustardbay_proxy::rates::Authority;
 use mustardbay_proxy::rates::ExhaustedAuthorities;
@@ -423,7 +424,14 @@
 fn lease_is_valid_within_grace_unless_the_store_ended_it() {
     let lease = VmLease::default();
     let now = BootInstant::from_boot(Duration::from_secs(100));
-    lease.renew(LeaseId(1), now, Duration::from_secs(3));
+    lease.renew(
+        LeaseId {
+            era: Era(1),
+            number: 1,
+        },
+        now,
+        Duration::from_secs(3),
+    );
     let past = now.after(Duration::from_secs(4));
     assert!(!lease.is_valid(past));
     assert!(lease.is_valid_within(GRANT_GRACE, past));
--- a/crates/proxy/tests/router.rs
+++ b/crates/proxy/tests/router.rs
@@ -27,6 +27,7 @@
 use mustardbay_proxy::link::Links;
 use mustardbay_proxy::link::Reply;
 use mustardbay_proxy::link::ReplyBody;
+use mustardbay_proxy::platform::Era;
 use mustardbay_proxy::pool::Cause;
 use mustardbay_proxy::pool::Outcome;
 use mustardbay_proxy::pool::Refusal;
@@ -248,11 +249,13 @@
         upstreams: Arc::default(),
         members: Arc::new(members),
         evacuated: Arc::default(),
+        era: Era(1),
     };
     FleetView {
         fingerprint: snapshot.fingerprint().expect("it can be encoded"),
         snapshot,
         asked: BootInstant::now(),
+        settled: false,
     }
 }
 
