Keep statements in their regions and cold upstreams within their rate

Change, regions: the entry turns the regions of route and account into failure domains, which travel with the unit. The router passes over vms elsewhere (this vm itself may always), the pool passes over upstreams elsewhere; what has no place is refused as not run. They change with the configuration. Change, cold: home and three stand-ins hold fixed parts of the rate (vms that are cut off cannot count together), a sliding second a vm, units and statements of open transactions wait for room. An upstream that was unreachable counts as cold for 3 s, since its registration may be older than its return.

Where no group names a cold rate and nothing is bound to regions, nothing differs but the size of two absent fields.

--- a/crates/policy/src/names.rs
+++ b/crates/policy/src/names.rs
@@ -49,6 +49,10 @@
     /// Name of a route, which a caller requests as its database name.
     RouteName
 );
+name!(
+    /// Name of a region, which holds several failure domains.
+    RegionName
+);
 name!(
     /// Name of a database group: one primary and its replicas.
     GroupName
--- a/crates/proxy/src/configuration.rs
+++ b/crates/proxy/src/configuration.rs
@@ -3,6 +3,7 @@
 mod account;
 mod group_limits;
 mod key;
+mod regions;
 mod route;
 mod version;
 
@@ -18,6 +19,8 @@
 pub use account::Account;
 pub use group_limits::GroupLimits;
 pub use key::Key;
+pub use regions::RegionSet;
+pub use regions::Regions;
 pub use route::Route;
 pub use version::Version;
 
@@ -31,6 +34,9 @@
     pub routes: BTreeMap<RouteName, Route>,
     /// Accounts by name.
     pub accounts: BTreeMap<AccountName, Account>,
+    /// Regions of the accounts that may not be handled everywhere.
+    #[serde(default)]
+    pub account_regions: BTreeMap<AccountName, RegionSet>,
     /// Account that each key belongs to.
     pub keys: BTreeMap<Key, AccountName>,
     /// Limits of each group.
--- a/crates/proxy/src/configuration/group_limits.rs
+++ b/crates/proxy/src/configuration/group_limits.rs
@@ -11,4 +11,7 @@
     pub connections: u32,
     /// Replicas that must have received a commit before it is acknowledged.
     pub sync_replicas: u32,
+    /// Requests that each upstream may get in a second from the whole fleet while it is cold; 0 if any.
+    #[serde(default)]
+    pub cold_rate: u32,
 }
--- a/crates/proxy/src/configuration/route.rs
+++ b/crates/proxy/src/configuration/route.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::configuration::RegionSet;
 use crate::work::Guarantee;
 
 /// Group that a database name maps to, and the guarantees for its statements.
@@ -26,4 +27,7 @@
     pub priority: u32,
     /// Whether callers without a key may use the route.
     pub open: bool,
+    /// Regions in which its statements may be handled; all if absent.
+    #[serde(default)]
+    pub regions: Option<RegionSet>,
 }
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -24,6 +24,7 @@
 pub use suspect_domains::SuspectDomains;
 pub use token_cache::TokenCache;
 
+use crate::configuration::Regions;
 use crate::latest_view::LatestView;
 use crate::vm_metrics::VmMetrics;
 
@@ -53,6 +54,8 @@
     pub vm_metrics: Arc<VmMetrics>,
     /// Time limits of the sessions.
     pub timing: EntryTiming,
+    /// Region of each failure domain.
+    pub regions: Regions,
     /// Tasks of the open sessions.
     pub sessions: TaskTracker,
 }
--- a/crates/proxy/src/entry/admission.rs
+++ b/crates/proxy/src/entry/admission.rs
@@ -9,6 +9,7 @@
 use crate::clock::BootInstant;
 use crate::configuration::Account;
 use crate::configuration::Key;
+use crate::configuration::RegionSet;
 use crate::configuration::Route;
 use crate::latest_view::FleetView;
 use crate::pool::Cause;
@@ -31,6 +32,8 @@
     pub account: AccountName,
     /// Rate limit; `None` if none is configured for the account.
     pub rate: Option<Account>,
+    /// Regions in which the account's operations may be handled; all if absent.
+    pub account_regions: Option<RegionSet>,
 }
 
 /// Reason why an operation is not admitted; it has not run.
@@ -155,6 +158,7 @@
     Ok(AdmittedOperation {
         route: found.clone(),
         rate: configuration.accounts.get(&account).copied(),
+        account_regions: configuration.account_regions.get(&account).cloned(),
         account,
     })
 }
--- a/crates/proxy/src/entry/router.rs
+++ b/crates/proxy/src/entry/router.rs
@@ -76,7 +76,7 @@
         };
         let mut last_refusal = Refusal::new(Cause::Unreachable, NO_VM_RETRY_MS);
         let mut unanswered: Vec<Attempt> = Vec::new();
-        for member in self.candidates(&group) {
+        for member in self.candidates(&group, &unit) {
             let unit = unit.after_delay(BootInstant::now().since(began));
             let Some(link) = self.link_for(&member, &unit).await else {
                 tracing::info!(event = "vm_unreachable", request = %unit.statement.id, vm = %member.vm);
@@ -110,12 +110,15 @@
         }
     }
 
-    /// Returns the vms that may serve a group in the order of trying, unresponsive ones last.
-    fn candidates(&self, group: &GroupName) -> Vec<Member> {
+    /// Returns the vms that may run a unit of a group in the order of trying, unresponsive ones last.
+    ///
+    /// A unit that is bound to regions stays on this vm or goes to vms there.
+    fn candidates(&self, group: &GroupName, unit: &WorkUnit) -> Vec<Member> {
         let Some(assignment) = self.latest_view.assignment() else {
             return Vec::new();
         };
         let mut candidates = assignment.ranking(group).candidates(&self.me);
+        candidates.retain(|member| member.vm == self.me || unit.allows(&member.domain));
         candidates.truncate(MAX_CANDIDATES);
         candidates.sort_by_key(|member| self.links.is_silent(&member.vm));
         candidates
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -16,4 +16,5 @@
 pub use member_list::LEASE_TERM;
 pub use member_list::MemberList;
 pub use ranking::Ranking;
+pub use ranking::cold_share;
 pub use ranking::share;
--- a/crates/proxy/src/fleet/ranking.rs
+++ b/crates/proxy/src/fleet/ranking.rs
@@ -13,6 +13,9 @@
 /// Vms that serve a group while its home is unreachable, in three other failure domains if possible.
 const STAND_INS: usize = 3;
 
+/// Part of the requests to a cold upstream that each stand-in may send: one in this many.
+const COLD_STAND_IN_PART: u32 = 10;
+
 /// Vms in the order in which they are responsible for a group.
 ///
 /// The first is its home. The next few are its stand-ins, which serve the group while the home is
@@ -64,6 +67,14 @@
         candidates
     }
 
+    /// Returns how many requests a second a vm may send to a cold upstream; `None` if `rate` is 0.
+    #[must_use]
+    pub fn cold_limit(&self, vm: &VmName, rate: u32) -> Option<u32> {
+        let rank = self.rank_of(vm);
+        let limit = rank.map_or(0, |rank| cold_share(rank, self.order.len(), rate));
+        (rate > 0).then_some(limit)
+    }
+
     /// Returns how many connections a vm may hold at each upstream of the group.
     ///
     /// Each upstream accepts `connections` in total.
@@ -74,6 +85,22 @@
     }
 }
 
+/// Returns how many requests a second the vm at `rank` may send to a cold upstream of a group.
+///
+/// The fleet may send it `rate`; the home and its stand-ins hold fixed parts, because vms that are cut
+/// off from each other cannot count together.
+#[must_use]
+pub fn cold_share(rank: usize, members: usize, rate: u32) -> u32 {
+    let stand_ins = members.saturating_sub(1).min(STAND_INS);
+    let count = u32::try_from(stand_ins).unwrap_or(u32::MAX);
+    let per_stand_in = (rate / COLD_STAND_IN_PART).max(1);
+    match rank {
+        0 => rate.saturating_sub(per_stand_in * count).max(1),
+        _ if rank <= stand_ins => per_stand_in,
+        _ => 0,
+    }
+}
+
 /// Returns how many connections the vm at `rank` may hold at each upstream of a group.
 ///
 /// `members` is the size of the fleet; each upstream accepts `connections` in total.
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -30,6 +30,7 @@
 mod tick;
 mod unit_id;
 mod upstream;
+mod warmup;
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -91,6 +92,8 @@
     position_history: PositionHistory,
     /// Connections that this vm may hold at each upstream.
     share: u32,
+    /// Requests in a second that this vm may send to a cold upstream; `None` if any number.
+    cold_limit: Option<u32>,
     /// Whether this vm is the group's home, which polls the status of every upstream.
     home: bool,
     /// Whether the vm is shutting down and refuses new units.
@@ -119,6 +122,7 @@
             primary: KnownPrimary::default(),
             position_history: PositionHistory::new(MAX_POSITION_AGE, MIN_POSITION_GAP),
             share: 0,
+            cold_limit: None,
             home: false,
             retired: false,
             status_account: None,
@@ -158,9 +162,13 @@
             }
             Input::Share {
                 connections,
+                cold_limit,
                 home,
                 status_account,
-            } => self.set_share(connections, home, status_account),
+            } => {
+                self.cold_limit = cold_limit;
+                self.set_share(connections, home, status_account);
+            }
             Input::Retire => self.retired = true,
             Input::Tick => self.tick(now),
         }
--- a/crates/proxy/src/pool/candidate.rs
+++ b/crates/proxy/src/pool/candidate.rs
@@ -18,6 +18,8 @@
     Leaving,
     /// Its failure domain is evacuated.
     Evacuated,
+    /// It is outside the regions that the unit is bound to.
+    OutsideRegions,
     /// It is not the primary, which the unit needs.
     NotPrimary,
     /// Its log has probably not reached the position that the unit must see.
@@ -45,6 +47,7 @@
             Eligibility::Eligible => write!(f, "serves")?,
             Eligibility::Unreachable => write!(f, "unreachable")?,
             Eligibility::Leaving => write!(f, "leaving")?,
+            Eligibility::OutsideRegions => write!(f, "outside_regions")?,
             Eligibility::Evacuated => write!(f, "evacuated")?,
             Eligibility::NotPrimary => write!(f, "follows")?,
             Eligibility::Behind { lag: Some(lag) } => write!(f, "behind_{}ms", millis(lag))?,
--- a/crates/proxy/src/pool/dispatch.rs
+++ b/crates/proxy/src/pool/dispatch.rs
@@ -78,11 +78,18 @@
                 continue;
             };
             let load = loads.entry(connection.upstream.clone()).or_default();
-            if load.busy >= max_in_flight(self.upstreams.get(&connection.upstream)) {
+            let upstream = self.upstreams.get(&connection.upstream);
+            let has_room = upstream.is_some_and(|u| u.has_room(self.cold_limit, now));
+            if load.busy >= max_in_flight(upstream) || !has_room {
                 self.resumed.push_back(unit_id);
                 continue;
             }
             load.busy += 1;
+            if self.cold_limit.is_some()
+                && let Some(upstream) = self.upstreams.get_mut(&connection.upstream)
+            {
+                upstream.note_request(now);
+            }
             let prepared = pending.statement.prepared.as_ref();
             connection.queue_setup(&pending.settings, prepared);
             connection.steps.push_back(Step {
@@ -110,6 +117,11 @@
         };
         self.waiting.remove(&pending.rank);
         pending.attempts += 1;
+        let requests = 1 + usize::from(pending.is_transaction());
+        self.note_requests(&plan, requests, now);
+        let Some(pending) = self.units.get_mut(&unit_id) else {
+            return;
+        };
         match plan {
             ConnectionPlan::Use(id) => {
                 pending.stage = UnitStage::Running(id);
@@ -135,4 +147,22 @@
             }
         }
     }
+
+    /// Counts the requests of a unit at the upstream of its connection, if cold upstreams are limited.
+    ///
+    /// They count when the unit is placed, so that connections that open meanwhile cannot all send at once.
+    fn note_requests(&mut self, plan: &ConnectionPlan, requests: usize, now: BootInstant) {
+        if self.cold_limit.is_none() {
+            return;
+        }
+        let name = match plan {
+            ConnectionPlan::Use(id) => self.connections.get(id).map(|c| &c.upstream),
+            ConnectionPlan::Open(upstream, _) => Some(upstream),
+        };
+        if let Some(upstream) = name.and_then(|name| self.upstreams.get_mut(name)) {
+            for _ in 0..requests {
+                upstream.note_request(now);
+            }
+        }
+    }
 }
--- a/crates/proxy/src/pool/input.rs
+++ b/crates/proxy/src/pool/input.rs
@@ -73,6 +73,8 @@
     Share {
         /// Connections that this vm may hold at each upstream.
         connections: u32,
+        /// Requests in a second that this vm may send to a cold upstream; `None` if any number.
+        cold_limit: Option<u32>,
         /// Whether this vm is the group's home.
         home: bool,
         /// Account for connections that are opened only to query the status of an upstream.
--- a/crates/proxy/src/pool/placement.rs
+++ b/crates/proxy/src/pool/placement.rs
@@ -118,7 +118,9 @@
                 continue;
             }
             let load = loads.get(name).copied().unwrap_or_default();
-            if load.busy >= max_in_flight(Some(upstream)) {
+            if load.busy >= max_in_flight(Some(upstream))
+                || !upstream.has_room(self.cold_limit, now)
+            {
                 continue;
             }
             let Some((plan, setup_cost)) =
@@ -147,29 +149,34 @@
         now: BootInstant,
     ) -> bool {
         let tried = matches!(need, Need::Position(_)) && pending.tried.contains(name);
-        !tried && self.serves(name, upstream, need, now)
+        !tried && self.serves(name, upstream, &pending.unit, need, now)
     }
 
-    /// Tells whether an upstream can probably run units with a need.
+    /// Tells whether an upstream can probably run a unit with a need.
     pub(super) fn serves(
         &self,
         name: &UpstreamName,
         upstream: &Upstream,
+        unit: &WorkUnit,
         need: Need,
         now: BootInstant,
     ) -> bool {
-        self.eligibility(name, upstream, need, now) == Eligibility::Eligible
+        self.eligibility(name, upstream, unit, need, now) == Eligibility::Eligible
     }
 
-    /// Returns whether an upstream can be given units with a need, and if not, why.
+    /// Returns whether an upstream can be given a unit with a need, and if not, why.
     fn eligibility(
         &self,
         name: &UpstreamName,
         upstream: &Upstream,
+        unit: &WorkUnit,
         need: Need,
         now: BootInstant,
     ) -> Eligibility {
         let is_primary = self.primary.upstream() == Some(name);
+        if !unit.allows(&upstream.registration.domain) {
+            return Eligibility::OutsideRegions;
+        }
         if !upstream.is_usable(now) {
             return Eligibility::Unreachable;
         }
@@ -193,12 +200,13 @@
         }
     }
 
-    /// Returns every upstream with its eligibility for units with a need.
-    pub(super) fn candidates(&self, need: Need, now: BootInstant) -> Vec<Candidate> {
+    /// Returns every upstream with its eligibility for a unit.
+    pub(super) fn candidates(&self, unit: &WorkUnit, now: BootInstant) -> Vec<Candidate> {
+        let need = self.need(unit, now);
         let loads = self.loads();
         let candidate = |(name, upstream): (&UpstreamName, &Upstream)| Candidate {
             upstream: name.clone(),
-            eligibility: self.eligibility(name, upstream, need, now),
+            eligibility: self.eligibility(name, upstream, unit, need, now),
             busy: loads.get(name).map_or(0, |load| load.busy),
         };
         self.upstreams.iter().map(candidate).collect()
--- a/crates/proxy/src/pool/submit.rs
+++ b/crates/proxy/src/pool/submit.rs
@@ -138,7 +138,6 @@
         refusal: Refusal,
         now: BootInstant,
     ) {
-        let need = self.need(unit, now);
         self.outputs.push(Output::Note(Note::Refused {
             unit_id,
             request: unit.statement.id.clone(),
@@ -146,7 +145,7 @@
             waiting: self.waiting.len(),
             service: self.service_times.mean(),
             position_age: self.position_history.age(now),
-            candidates: self.candidates(need, now),
+            candidates: self.candidates(unit, now),
         }));
         self.finish(unit_id, Outcome::Refused(refusal));
     }
@@ -165,7 +164,7 @@
         if need == Need::Primary && !self.is_primary_usable(now) {
             return Some(Refusal::new(Cause::NoPrimary, millis(PROMOTION_PAUSE)));
         }
-        let capacity = self.capacity_for(need, now);
+        let capacity = self.capacity_for(unit, now);
         if capacity.slots == 0 {
             return Some(Refusal::new(Cause::NoUpstream, millis(PROMOTION_PAUSE)));
         }
@@ -201,14 +200,15 @@
         primary.is_some_and(|u| u.is_usable(now) && u.accepts_work(true, now))
     }
 
-    /// Returns the slots in which units with a need can run now.
-    fn capacity_for(&self, need: Need, now: BootInstant) -> Capacity {
+    /// Returns the slots in which a unit can run now.
+    fn capacity_for(&self, unit: &WorkUnit, now: BootInstant) -> Capacity {
+        let need = self.need(unit, now);
         let mut capacity = Capacity {
             slots: 0,
             only_primary: true,
         };
         for (name, upstream) in &self.upstreams {
-            if self.serves(name, upstream, need, now) {
+            if self.serves(name, upstream, unit, need, now) {
                 capacity.slots += upstream.registration.slots;
                 capacity.only_primary &= self.primary.upstream() == Some(name);
             }
@@ -221,10 +221,7 @@
         let before = self.waiting.range(..rank).filter_map(|(other, unit_id)| {
             let late = other.priority == rank.priority && self.is_late(*other, now);
             let pending = self.units.get(unit_id).filter(|_| !late)?;
-            let here = !capacity.only_primary
-                || self
-                    .capacity_for(self.need(&pending.unit, now), now)
-                    .only_primary;
+            let here = !capacity.only_primary || self.capacity_for(&pending.unit, now).only_primary;
             here.then(|| self.service_times.of(pending.unit.class()))
         });
         before.sum()
--- a/crates/proxy/src/pool/upstream.rs
+++ b/crates/proxy/src/pool/upstream.rs
@@ -15,6 +15,7 @@
 use crate::pool::connection::ConnectionId;
 use crate::pool::departure::Availability;
 use crate::pool::departure::Departure;
+use crate::pool::warmup::Warmup;
 
 /// Backoff after the first failure to reach an upstream; it doubles with each further failure.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
@@ -74,6 +75,9 @@
     pub role: Role,
     /// Changes whenever the upstream restarts.
     pub incarnation: i64,
+    /// Whether it is cold and must not get many requests yet.
+    #[serde(default)]
+    pub cold: bool,
 }
 
 /// An upstream and its state as the pool knows it.
@@ -98,6 +102,8 @@
     full_until: BootInstant,
     /// Closed connections that it may still count, with the time of closing.
     closing: BTreeMap<ConnectionId, BootInstant>,
+    /// Requests to it while it is cold.
+    warmup: Warmup,
     /// Why it is to be left alone, if it is.
     pub(super) departure: Departure,
     /// When it was first missing from the list.
@@ -119,6 +125,7 @@
             backoff_until: BootInstant::default(),
             full_until: BootInstant::default(),
             closing: BTreeMap::new(),
+            warmup: Warmup::default(),
             departure: Departure::default(),
             unlisted_since: None,
             last_asked: BootInstant::default(),
@@ -148,9 +155,25 @@
         self.departure.availability(is_primary, now) == Availability::Available
     }
 
+    /// Records a request of a session, which counts while it is cold.
+    pub(super) fn note_request(&mut self, now: BootInstant) {
+        self.warmup.note_request(now);
+    }
+
+    /// Tells whether it may be sent a request; `cold_limit` is this vm's limit for a cold one.
+    pub(super) fn has_room(&self, cold_limit: Option<u32>, now: BootInstant) -> bool {
+        cold_limit.is_none_or(|limit| {
+            let cold = self.warmup.is_cold(self.registration.cold, now);
+            !cold || self.warmup.has_room(limit, now)
+        })
+    }
+
     /// Records an answer and the position in it; returns whether it was unreachable before.
     pub(super) fn note_reply(&mut self, position: Option<Position>, now: BootInstant) -> bool {
         let back = self.failures > 0;
+        if back {
+            self.warmup.note_return(now);
+        }
         self.last_answer = now;
         self.failing_since = None;
         self.failures = 0;
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -22,6 +22,7 @@
 use crate::session::transaction::Transaction;
 use crate::wire::Request;
 use crate::wire::ToCaller;
+use crate::work::AllowedDomains;
 use crate::work::Answer;
 use crate::work::Code;
 use crate::work::Setting;
@@ -347,9 +348,21 @@
             left_ms: millis(route.timeout),
             objective_ms: millis(route.objective),
             fresh_position: None,
+            domains: self.allowed_domains(admitted),
         }
     }
 
+    /// Returns the failure domains that may handle an operation, if it is bound to regions.
+    fn allowed_domains(&self, admitted: &AdmittedOperation) -> Option<AllowedDomains> {
+        let route = admitted.route.regions.as_ref();
+        let account = admitted.account_regions.as_ref();
+        let domains = self.entry.regions.allowed_domains(route, account)?;
+        let names = domains.iter().map(|domain| domain.as_str().to_owned());
+        Some(AllowedDomains {
+            names: names.collect(),
+        })
+    }
+
     fn settings(&self) -> Vec<Setting> {
         self.session_state.settings()
     }
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::configuration::Regions;
+
 /// Part of a bound of the operators that is used, in percent.
 ///
 /// The rest covers the clocks' resolution and the first bytes of a request.
@@ -75,6 +77,9 @@
     pub platform: PlatformAddresses,
     /// Bounds that the vm keeps.
     pub bounds: Bounds,
+    /// Region of each failure domain; needed where routes or accounts are bound to regions.
+    #[serde(default)]
+    pub regions: Regions,
     /// Number of processor cores that the process may use, above 0, at most 1024.
     pub cores: f64,
 }
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -106,6 +106,7 @@
             view_ttl: settings.view_ttl(),
             grace: settings.grace(),
         },
+        regions: settings.regions.clone(),
         sessions: TaskTracker::new(),
     });
     let sessions = entry.sessions.clone();
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -283,6 +283,7 @@
             let ranking = assignment.ranking(group);
             let rank = ranking.rank_of(&deps.me);
             let connections = ranking.share(&deps.me, limits.connections);
+            let cold_limit = ranking.cold_limit(&deps.me, limits.cold_rate);
             let home = rank == Some(0);
             let registrations = snapshot.upstreams.get(group).cloned().unwrap_or_default();
             let evacuated = self.evacuated_among(&registrations);
@@ -302,6 +303,7 @@
                 },
                 Input::Share {
                     connections,
+                    cold_limit,
                     home,
                     status_account: status_account.clone(),
                 },
--- a/crates/proxy/src/work.rs
+++ b/crates/proxy/src/work.rs
@@ -21,4 +21,5 @@
 pub use statement::PreparedStatement;
 pub use statement::Statement;
 pub use statement::Verb;
+pub use work_unit::AllowedDomains;
 pub use work_unit::WorkUnit;
--- a/crates/proxy/src/work/work_unit.rs
+++ b/crates/proxy/src/work/work_unit.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use mustardbay_policy::names::DomainName;
+
 use crate::clock::millis;
 use crate::work::Class;
 use crate::work::Guarantee;
@@ -51,6 +53,17 @@
     /// A pool uses it if it knows no recent position of the primary itself.
     #[prost(message, optional, tag = "12")]
     pub fresh_position: Option<LogPosition>,
+    /// Failure domains that may handle it; all if absent.
+    #[prost(message, optional, tag = "13")]
+    pub domains: Option<AllowedDomains>,
+}
+
+/// Failure domains that may handle a unit, because its route or account is bound to regions.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AllowedDomains {
+    /// Names of the domains.
+    #[prost(string, repeated, tag = "1")]
+    pub names: Vec<String>,
 }
 
 impl WorkUnit {
@@ -85,6 +98,13 @@
         self.begin.is_none() && self.statement.verb() == Verb::Read
     }
 
+    /// Tells whether the vms and upstreams of a failure domain may handle the unit.
+    #[must_use]
+    pub fn allows(&self, domain: &DomainName) -> bool {
+        let allowed = self.domains.as_ref();
+        allowed.is_none_or(|domains| domains.names.iter().any(|name| name == domain.as_str()))
+    }
+
     /// Returns the unit with its remaining times reduced by a delay.
     #[must_use]
     pub fn after_delay(&self, time: Duration) -> Self {
--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -39,6 +39,7 @@
             draining: false,
             role: Role::Replica,
             incarnation: 1,
+            cold: false,
         },
         evacuated: false,
         position: Some(Position::new(1, received)),
--- a/crates/proxy/tests/fleet.rs
+++ b/crates/proxy/tests/fleet.rs
@@ -11,6 +11,7 @@
 use mustardbay_proxy::fleet::Assignment;
 use mustardbay_proxy::fleet::Incarnation;
 use mustardbay_proxy::fleet::Member;
+use mustardbay_proxy::fleet::cold_share;
 use mustardbay_proxy::fleet::share;
 use test_case::test_case;
 
@@ -173,3 +174,13 @@
         );
     }
 }
+
+/// Vms that are cut off from each other cannot count together, so their parts are fixed.
+#[test_case(4, 50; "small fleet")]
+#[test_case(70, 13; "low rate")]
+#[test_case(1, 10; "single vm")]
+fn parts_of_the_requests_to_a_cold_upstream_keep_its_rate(vms: usize, rate: u32) {
+    let parts: Vec<u32> = (0..vms).map(|rank| cold_share(rank, vms, rate)).collect();
+    assert_eq!(parts.iter().sum::<u32>(), rate);
+    assert!(parts[0] >= rate / 2);
+}
--- a/crates/proxy/tests/latest_view.rs
+++ b/crates/proxy/tests/latest_view.rs
@@ -39,11 +39,13 @@
         objective: Duration::from_millis(150),
         priority: 1,
         open: false,
+        regions: None,
     };
     let configuration = Configuration {
         version: Version(version),
         routes: [(RouteName::from("r"), route)].into(),
         accounts: BTreeMap::new(),
+        account_regions: BTreeMap::new(),
         keys: [(Key::from("k"), AccountName::from("a"))].into(),
         groups: BTreeMap::new(),
         transaction_idle: Duration::from_secs(3),
--- a/crates/proxy/tests/pool.rs
+++ b/crates/proxy/tests/pool.rs
@@ -10,7 +10,11 @@
 mod partition;
 #[path = "pool/reads.rs"]
 mod reads;
+#[path = "pool/regions.rs"]
+mod regions;
 #[path = "pool/sessions.rs"]
 mod sessions;
 #[path = "pool/simulation.rs"]
 mod simulation;
+#[path = "pool/warmup.rs"]
+mod warmup;
--- a/crates/proxy/tests/pool/simulation.rs
+++ b/crates/proxy/tests/pool/simulation.rs
@@ -90,6 +90,8 @@
     pub notes: Vec<Note>,
     /// Upstreams in evacuated domains, with the time from which nothing may reach them.
     evacuated: BTreeMap<UpstreamName, Cutoff>,
+    /// Indexes of the cold upstreams.
+    cold: Vec<usize>,
     next_unit: u64,
 }
 
@@ -141,18 +143,31 @@
             opened: 0,
             notes: Vec::new(),
             evacuated: BTreeMap::new(),
+            cold: Vec::new(),
             next_unit: 0,
         };
-        sim.feed(Input::Share {
-            connections: share,
-            home,
-            status_account: Some(AccountName::from("a0")),
-        });
+        sim.share(share, home, None);
         sim.register(&[]);
         sim.run(Duration::from_secs(1));
         sim
     }
 
+    fn share(&mut self, connections: u32, home: bool, cold_limit: Option<u32>) {
+        self.feed(Input::Share {
+            connections,
+            cold_limit,
+            home,
+            status_account: Some(AccountName::from("a0")),
+        });
+    }
+
+    /// Makes upstreams cold, to which this vm, the home, may send `limit` requests a second.
+    pub fn make_cold(&mut self, upstreams: &[usize], limit: u32) {
+        self.cold = upstreams.to_vec();
+        self.share(14, true, Some(limit));
+        self.register(&[]);
+    }
+
     /// Registers the upstreams; those in `leaving` are marked as leaving.
     pub fn register(&mut self, leaving: &[usize]) {
         let registrations = (0..3).map(|index| Registration {
@@ -163,6 +178,7 @@
             draining: leaving.contains(&index),
             role: self.upstreams[&name(index)].role,
             incarnation: 1,
+            cold: self.cold.contains(&index),
         });
         let registrations = registrations.collect();
         let evacuated = self.evacuated.clone();
--- a/crates/proxy/tests/router.rs
+++ b/crates/proxy/tests/router.rs
@@ -32,6 +32,7 @@
 use mustardbay_proxy::pool::Outcome;
 use mustardbay_proxy::pool::Refusal;
 use mustardbay_proxy::snapshot::Snapshot;
+use mustardbay_proxy::work::AllowedDomains;
 use mustardbay_proxy::work::Answer;
 use mustardbay_proxy::work::Code;
 use mustardbay_proxy::work::DatedPosition;
@@ -234,12 +235,14 @@
     let limits = GroupLimits {
         connections: 20,
         sync_replicas: 0,
+        cold_rate: 0,
     };
     let groups = group_names().map(|name| (GroupName::from(name.as_str()), limits));
     let configuration = Configuration {
         version: Version(1),
         routes: BTreeMap::new(),
         accounts: BTreeMap::new(),
+        account_regions: BTreeMap::new(),
         keys: BTreeMap::new(),
         groups: groups.collect(),
         transaction_idle: Duration::from_secs(3),
@@ -371,3 +374,34 @@
     let received = submitted[0].fresh_position.map(|position| position.index);
     assert_eq!(received, expected);
 }
+
+/// The body of a statement leaves this vm only for vms in its regions.
+#[tokio::test]
+async fn run_unit_bound_to_regions_stays_there() {
+    let fixture = RouterFixture::start().await;
+    let second = &fixture.ranks[&fixture.groups[0]][1];
+    let index = second.as_str().trim_start_matches("vm").parse::<usize>();
+    let domain = format!("d{}", index.expect("a number") % 3);
+    let unit = WorkUnit {
+        domains: Some(AllowedDomains {
+            names: vec![domain],
+        }),
+        ..unit(&fixture.groups[0], Verb::Read, None)
+    };
+    let (outcome, _) = fixture.router.run(unit).await;
+    assert!(is_answered(&outcome), "{outcome:?}");
+    assert_eq!(fixture.at(0, 0).submitted(), 0, "the home is elsewhere");
+    assert_eq!(fixture.at(0, 1).submitted(), 1);
+}
+
+/// What has no place is refused as not run.
+#[tokio::test]
+async fn run_unit_bound_to_no_region_of_the_fleet_is_refused() {
+    let fixture = RouterFixture::start().await;
+    let unit = WorkUnit {
+        domains: Some(AllowedDomains { names: Vec::new() }),
+        ..unit(&fixture.groups[0], Verb::Read, None)
+    };
+    let (outcome, _) = fixture.router.run(unit).await;
+    assert!(matches!(outcome, Outcome::Refused(_)), "{outcome:?}");
+}
