Send other vms what has changed in the topology, encoded once

While vms join, every view differs, and each vm is sent members and upstreams whole, encoded for each of them on the few readers; slow readers and vms then lose leases, which changes the views again.

Change: a vm remembers its last eight views and sends what has changed against the one that the other names, encoded once for all (SnapshotReplies, TopologyDelta). The receiver compares the fingerprint of the result and asks for the whole if it differs, or if the base is not remembered.

--- a/crates/proxy/src/latest_view.rs
+++ b/crates/proxy/src/latest_view.rs
@@ -1,5 +1,6 @@
 //! Newest view of the fleet on this vm, with its age.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -21,6 +22,9 @@
 /// their next renewal.
 pub const RESTORE_SETTLE: Duration = Duration::from_secs(2);
 
+/// Earlier views that are remembered, so that other vms are sent only what has changed since.
+const REMEMBERED_VIEWS: usize = 8;
+
 /// Snapshot of the store, with the time at which it was requested.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FleetView {
@@ -51,6 +55,8 @@
     assignment: ArcSwapOption<Assignment>,
     /// Notified of every view that is adopted.
     adopted: Notify,
+    /// Last views with different fingerprints, the newest last.
+    earlier: Mutex<VecDeque<Arc<FleetView>>>,
     /// Newest era of the store that any view was read in, with the request of the first such view.
     newest_era: Mutex<Option<(Era, BootInstant)>>,
 }
@@ -75,6 +81,14 @@
         self.view.load_full()
     }
 
+    /// Returns an earlier view by its fingerprint, if it is remembered.
+    #[must_use]
+    pub fn earlier_view(&self, fingerprint: Fingerprint) -> Option<Arc<FleetView>> {
+        let earlier = lock(&self.earlier);
+        let mut found = earlier.iter().rev();
+        found.find(|view| view.fingerprint == fingerprint).cloned()
+    }
+
     /// Tells whether a view's era had been known for [`RESTORE_SETTLE`] when it was read.
     #[must_use]
     pub fn is_settled(&self, view: &FleetView) -> bool {
@@ -138,6 +152,18 @@
         }
     }
 
+    fn remember(&self, view: &Arc<FleetView>) {
+        let mut earlier = lock(&self.earlier);
+        let last = earlier.back();
+        if last.is_some_and(|last| last.fingerprint == view.fingerprint) {
+            return;
+        }
+        if earlier.len() >= REMEMBERED_VIEWS {
+            earlier.pop_front();
+        }
+        earlier.push_back(Arc::clone(view));
+    }
+
     /// Records the era of a view; returns when its views may be adopted, or `None` if it is over.
     fn note_era(&self, era: Era, asked: BootInstant) -> Option<BootInstant> {
         let mut newest_era = lock(&self.newest_era);
@@ -162,7 +188,9 @@
             let assignment = Assignment::new(members, groups);
             self.assignment.store(Some(Arc::new(assignment)));
         }
-        self.view.store(Some(Arc::new(view)));
+        let view = Arc::new(view);
+        self.remember(&view);
+        self.view.store(Some(view));
         self.adopted.notify_waiters();
     }
 }
--- a/crates/proxy/src/link/frame.rs
+++ b/crates/proxy/src/link/frame.rs
@@ -1,5 +1,6 @@
 //! Frames of the link between two vms.
 
+use bytes::Bytes;
 use mustardbay_policy::names::AccountName;
 
 use crate::pool::Outcome;
@@ -211,18 +212,21 @@
     #[prost(uint64, tag = "1")]
     pub age_ms: u64,
     /// Whole snapshot as JSON, if it was requested.
-    #[prost(bytes = "vec", tag = "2")]
-    pub snapshot: Vec<u8>,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub snapshot: Bytes,
     /// Fingerprint of the snapshot; 0 if there is none.
     #[prost(fixed64, tag = "3")]
     pub fingerprint: u64,
     /// Snapshot without the configuration, as JSON, for a vm that has this configuration but another
     /// snapshot.
-    #[prost(bytes = "vec", tag = "4")]
-    pub topology: Vec<u8>,
+    #[prost(bytes = "bytes", tag = "4")]
+    pub topology: Bytes,
     /// Whether the sender had known the snapshot's era for long enough when it was read.
     #[prost(bool, tag = "5")]
     pub settled: bool,
+    /// What the topology has changed against the snapshot that the requesting vm named, as JSON.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub delta: Bytes,
 }
 
 /// Frame to the client side of a link.
--- a/crates/proxy/src/link_handler.rs
+++ b/crates/proxy/src/link_handler.rs
@@ -1,5 +1,7 @@
 //! Dispatch of requests from links to this vm's pools, rates and view.
 
+mod snapshot_replies;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,7 +29,7 @@
 use crate::link::frame::HandOverReply;
 use crate::link::frame::HandedAccount;
 use crate::link::frame::ReachReply;
-use crate::link::frame::SnapshotReply;
+use crate::link_handler::snapshot_replies::SnapshotReplies;
 use crate::pool::Cause;
 use crate::pool::Input;
 use crate::pool::Refusal;
@@ -55,6 +57,7 @@
     links: Mutex<BTreeMap<u64, mpsc::UnboundedSender<Reply>>>,
     next_link: AtomicU64,
     authority: Mutex<Authority>,
+    snapshot_replies: SnapshotReplies,
 }
 
 impl LinkHandler {
@@ -64,6 +67,7 @@
     #[must_use]
     pub fn new(latest_view: Arc<LatestView>, rate_window: Duration) -> Self {
         Self {
+            snapshot_replies: SnapshotReplies::new(Arc::clone(&latest_view)),
             latest_view,
             pools: Mutex::default(),
             links: Mutex::default(),
@@ -248,13 +252,13 @@
             return;
         }
         if !ask.whole {
-            let snapshot_reply = self.snapshot_reply(ask);
+            let snapshot_reply = self.snapshot_replies.reply(ask);
             self.reply(link, number, ReplyBody::SnapshotReply(snapshot_reply));
             return;
         }
         let handler = Arc::clone(self);
         tokio::task::spawn_blocking(move || {
-            let snapshot_reply = handler.snapshot_reply(ask);
+            let snapshot_reply = handler.snapshot_replies.reply(ask);
             handler.reply(link, number, ReplyBody::SnapshotReply(snapshot_reply));
         });
     }
@@ -276,40 +280,6 @@
             handler.send_snapshot(link, number, ask);
         });
     }
-
-    /// Returns the part of the view that the requesting vm lacks.
-    fn snapshot_reply(&self, known: AskSnapshot) -> SnapshotReply {
-        let Some(view) = self.latest_view.view() else {
-            return SnapshotReply::default();
-        };
-        let age = view.age(BootInstant::now());
-        let snapshot_reply = SnapshotReply {
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            fingerprint: view.fingerprint.0,
-            settled: self.latest_view.is_settled(&view),
-            ..SnapshotReply::default()
-        };
-        let snapshot = &view.snapshot;
-        let configured = known.version == snapshot.configuration.version.0;
-        if known.fingerprint == view.fingerprint.0 || !(configured || known.whole) {
-            return snapshot_reply;
-        }
-        let encoded = if configured {
-            serde_json::to_vec(&snapshot.topology()).map(|topology| SnapshotReply {
-                topology,
-                ..snapshot_reply
-            })
-        } else {
-            serde_json::to_vec(snapshot).map(|snapshot| SnapshotReply {
-                snapshot,
-                ..snapshot_reply
-            })
-        };
-        encoded.unwrap_or_else(|e| {
-            tracing::error!(event = "snapshot_not_encoded", error = %e);
-            SnapshotReply::default()
-        })
-    }
 }
 
 /// Sends an input to a pool; it is dropped if the pool has ended.
--- a/crates/proxy/src/snapshot.rs
+++ b/crates/proxy/src/snapshot.rs
@@ -1,5 +1,7 @@
 //! Snapshot of the platform's store: configuration, upstreams and vms.
 
+mod topology_delta;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -11,6 +13,8 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+pub use topology_delta::TopologyDelta;
+
 use crate::configuration::Configuration;
 use crate::fleet::Member;
 use crate::platform::Era;
--- a/crates/proxy/src/vm/refresher/peers.rs
+++ b/crates/proxy/src/vm/refresher/peers.rs
@@ -6,6 +6,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use mustardbay_policy::names::VmName;
+use thiserror::Error;
 
 use crate::clock::BootInstant;
 use crate::clock::millis;
@@ -18,6 +19,7 @@
 use crate::link::frame::SnapshotReply;
 use crate::snapshot::Fingerprint;
 use crate::snapshot::Snapshot;
+use crate::snapshot::TopologyDelta;
 
 /// Maximum wait for another vm's reply, beyond the time for which that vm may wait itself.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -36,6 +38,8 @@
 #[derive(Debug, Clone, Copy)]
 struct SnapshotRequest<'a> {
     known: Option<&'a FleetView>,
+    /// Whether changes against the known view are wanted, if the vm remembers that view.
+    delta: bool,
     whole: bool,
     max_wait: Duration,
 }
@@ -73,6 +77,7 @@
         let mut asked = BootInstant::now();
         let request = SnapshotRequest {
             known,
+            delta: true,
             whole: false,
             max_wait,
         };
@@ -88,6 +93,18 @@
                 ..known.clone()
             });
         }
+        if !reply.delta.is_empty() {
+            let newer = decode(reply, known, asked, &member.vm).await;
+            if newer.is_some() {
+                return newer;
+            }
+            asked = BootInstant::now();
+            let request = SnapshotRequest {
+                delta: false,
+                ..request
+            };
+            reply = self.send_request(member, request).await?;
+        }
         if reply.topology.is_empty() {
             asked = BootInstant::now();
             let request = SnapshotRequest {
@@ -106,7 +123,9 @@
     ) -> Option<SnapshotReply> {
         let known = request.known;
         let ask = AskSnapshot {
-            fingerprint: known.map_or(0, |known| known.fingerprint.0),
+            fingerprint: known
+                .filter(|_| request.delta)
+                .map_or(0, |known| known.fingerprint.0),
             version: known.map_or(0, |known| known.snapshot.configuration.version.0),
             whole: request.whole,
             max_wait_ms: millis(request.max_wait),
@@ -163,16 +182,36 @@
     }
 }
 
+/// Why a snapshot of another vm cannot be used.
+#[derive(Debug, Error)]
+enum SnapshotError {
+    /// It is not valid JSON of the expected form.
+    #[error(transparent)]
+    Malformed(#[from] serde_json::Error),
+    /// The changes do not lead from the known snapshot to the named one.
+    #[error("the changes lead to another snapshot")]
+    OtherBase,
+}
+
 /// Decodes a snapshot; if the configuration is known, the reply holds only the rest.
 fn decode_snapshot(
     reply: &SnapshotReply,
     known: Option<&Snapshot>,
-) -> Result<Snapshot, serde_json::Error> {
+) -> Result<Snapshot, SnapshotError> {
     match known {
+        Some(known) if !reply.delta.is_empty() => {
+            let delta: TopologyDelta = serde_json::from_slice(&reply.delta)?;
+            let snapshot = known.with_topology(delta.apply(&known.topology()));
+            if snapshot.fingerprint()?.0 == reply.fingerprint {
+                Ok(snapshot)
+            } else {
+                Err(SnapshotError::OtherBase)
+            }
+        }
         Some(known) if !reply.topology.is_empty() => {
             let topology = serde_json::from_slice(&reply.topology)?;
             Ok(known.with_topology(topology))
         }
-        _ => serde_json::from_slice(&reply.snapshot),
+        _ => Ok(serde_json::from_slice(&reply.snapshot)?),
     }
 }
