--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -16,6 +16,7 @@
 use crate::bundle_file;
 use crate::change;
 use crate::error::CliError;
+use crate::evacuations::evacuations;
 use crate::losses::LossReport;
 use crate::reports::Report;
 use crate::signer_file;
@@ -33,6 +34,7 @@
         Some(("drain", args)) => drain(args).await,
         Some(("story", args)) => show_story(args),
         Some(("losses", args)) => show_losses(args),
+        Some(("evacuations", args)) => show_evacuations(args).await,
         _ => Ok(Exit::Usage),
     }
 }
@@ -186,6 +188,18 @@
     Ok(Exit::Done)
 }
 
+async fn show_evacuations(args: &ArgMatches) -> Result<Exit, CliError> {
+    let admins: Vec<String> = many(args, "admin");
+    let known = evacuations(&admins).await;
+    let report = if args.get_flag("json") {
+        Report::json(&known)?
+    } else {
+        Report::text(known.to_string().trim_end())
+    };
+    report.print();
+    Ok(Exit::Done)
+}
+
 async fn dump(args: &ArgMatches) -> Result<Exit, CliError> {
     let state = admin::state(url(args)).await?;
     let report = if args.get_flag("json") {
--- a/crates/cli/src/command_line.rs
+++ b/crates/cli/src/command_line.rs
@@ -39,6 +39,7 @@
         .subcommand(dump())
         .subcommand(story())
         .subcommand(losses())
+        .subcommand(evacuations())
         .subcommand(drain())
 }
 
@@ -73,6 +74,25 @@
         .arg(json())
 }
 
+fn evacuations() -> Command {
+    Command::new("evacuations")
+        .about("Shows which failure domains are evacuated, and what still runs there")
+        .long_about(
+            "Shows which failure domains are evacuated, and what still runs there.\n\nAsks each \
+             mustardbay-vm for the domains that it knows as evacuated, since when at most, how long \
+             their primaries serve until others have taken over, and the statements and open \
+             transactions that it still has at their upstreams.",
+        )
+        .arg(
+            Arg::new("admin")
+                .long("admin")
+                .required(true)
+                .num_args(1..)
+                .help("Admin addresses of the vms"),
+        )
+        .arg(json())
+}
+
 fn logs() -> Arg {
     path("logs", "Log files, one for each vm")
         .required(true)
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -86,11 +86,6 @@
 
     let link_listener = socket::listen(settings.listen.link)?;
     tokio::spawn(link::serve(link_listener, Arc::clone(&handler)));
-    let tokens = TokenCache::new(
-        settings.vm.clone(),
-        Arc::clone(&latest_view),
-        Arc::clone(&links),
-    );
     let entry = Arc::new(Entry {
         vm: settings.vm.clone(),
         latest_view: Arc::clone(&latest_view),
@@ -99,13 +94,14 @@
             Arc::clone(&latest_view),
             Arc::clone(&links),
         ),
-        tokens: Arc::new(tokens),
+        tokens: Arc::new(TokenCache::new(
+            settings.vm.clone(),
+            Arc::clone(&latest_view),
+            Arc::clone(&links),
+        )),
         lifecycle: lifecycle.clone(),
         vm_metrics: Arc::clone(&vm_metrics),
-        timing: EntryTiming {
-            view_ttl: settings.view_ttl(),
-            grace: settings.grace(),
-        },
+        timing: entry_timing(&settings),
         regions: settings.regions.clone(),
         sessions: TaskTracker::new(),
     });
@@ -164,6 +160,14 @@
     Ok(())
 }
 
+/// Returns the time limits of this vm's sessions.
+fn entry_timing(settings: &VmSettings) -> EntryTiming {
+    EntryTiming {
+        view_ttl: settings.view_ttl(),
+        grace: settings.grace(),
+    }
+}
+
 /// Retires the pools and ends the lease, so that other vms take over the groups and accounts.
 async fn leave_fleet(
     settings: &VmSettings,
--- a/crates/proxy/tests/pool/evacuation.rs
+++ b/crates/proxy/tests/pool/evacuation.rs
@@ -15,6 +15,7 @@
 use crate::simulation::Simulation;
 use crate::simulation::bounded_read;
 use crate::simulation::first_of_transaction;
+use crate::simulation::name;
 use crate::simulation::single;
 use crate::simulation::unit_id;
 
@@ -63,7 +64,7 @@
     let mut sim = Simulation::new(14);
     sim.evacuate(&[0], SERVES);
     let write = sim.submit(single(Verb::Write, "w1"));
-    sim.run(SERVES - Duration::from_millis(100));
+    sim.run(SERVES.saturating_sub(Duration::from_millis(100)));
     assert_eq!(sim.answer(write).failure(), None);
     sim.run(Duration::from_millis(200));
     let before = sim.upstream(0).sent.len();
@@ -187,3 +188,23 @@
     }
     assert!(sim.upstream(1).ran.len() > before);
 }
+
+/// Operators work on the domain's upstreams, so nothing holds on to them.
+#[test]
+fn connections_to_an_evacuated_upstream_are_closed() {
+    let mut sim = Simulation::new(14);
+    let open = sim.submit(first_of_transaction(Verb::Write, "w1"));
+    for n in 0..6 {
+        sim.submit(bounded_read(&format!("r{n}")));
+    }
+    sim.run(Duration::from_millis(300));
+    assert_eq!(sim.answer(open).failure(), None);
+    sim.evacuate(&[0, 1], SERVES);
+    sim.run(BEGUN_ENDS);
+    let held = sim.pool.state(sim.now);
+    assert_eq!(held.connections.get(&name(1)), None, "idle ones at once");
+    assert_eq!(held.evacuated[&name(0)], 1, "the transaction is open");
+    sim.run(SERVES);
+    let held = sim.pool.state(sim.now);
+    assert_eq!(held.connections.get(&name(0)), None, "all at the cutoff");
+}
