Tell queued writes that lose their primary when a promotion can be over

Cause: a write that was refused on arrival for want of a primary was told 700 ms, one that had waited 0.3 s for it was told four service times, 40 to 80 ms. It then came back before any promotion can be over and spent one of its few retries.

Change: both are told the same pause.

--- a/crates/proxy/src/pool/expiry.rs
+++ b/crates/proxy/src/pool/expiry.rs
@@ -15,6 +15,7 @@
 use crate::pool::refusal::Outcome;
 use crate::pool::refusal::Refusal;
 use crate::pool::step::Purpose;
+use crate::pool::submit::PROMOTION_PAUSE;
 use crate::pool::submit::aborted;
 use crate::pool::unit_id::UnitId;
 use crate::work::Answer;
@@ -69,8 +70,11 @@
                 continue;
             };
             self.waiting.remove(&pending.rank);
-            let pause = millis(self.service_times.mean() * RETRY_PAUSE_FACTOR);
-            let refusal = Refusal::new(cause, pause);
+            let pause = match cause {
+                Cause::NoPrimary => PROMOTION_PAUSE,
+                _ => self.service_times.mean() * RETRY_PAUSE_FACTOR,
+            };
+            let refusal = Refusal::new(cause, millis(pause));
             if let Some(pending) = self.units.remove(&unit_id) {
                 self.refuse(unit_id, &pending.unit, refusal, now);
             }
--- a/crates/proxy/src/pool/submit.rs
+++ b/crates/proxy/src/pool/submit.rs
@@ -29,7 +29,7 @@
 /// The expected wait is computed from mean service times, and some of the units ahead take longer.
 const QUEUE_DIVISOR: u32 = 3;
 /// Pause before a retry while a group has no usable upstream: most of the time of a promotion.
-const PROMOTION_PAUSE: Duration = Duration::from_millis(700);
+pub(super) const PROMOTION_PAUSE: Duration = Duration::from_millis(700);
 
 impl Pool {
     /// Queues a unit, or refuses it if it cannot be served in time.
--- a/crates/proxy/tests/pool/faults.rs
+++ b/crates/proxy/tests/pool/faults.rs
@@ -115,6 +115,24 @@
     assert_eq!(sim.answer(read).failure(), None);
 }
 
+/// Callers that come back sooner find no primary again, and have few retries.
+#[test]
+fn queued_write_that_loses_its_primary_is_told_to_wait_for_a_promotion() {
+    let mut sim = Simulation::new(14);
+    let queued: Vec<u64> = (0..30)
+        .map(|n| sim.submit(single(Verb::Write, &format!("w{n}"))))
+        .collect();
+    sim.set_health(0, Health::Down);
+    sim.run(Duration::from_millis(500));
+    let pauses = queued.iter().filter_map(|unit| match sim.outcome(*unit) {
+        Outcome::Refused(refusal) if refusal.cause() == Cause::NoPrimary => Some(refusal.retry_ms),
+        Outcome::Refused(_) | Outcome::Answered(_) => None,
+    });
+    let pauses: Vec<u32> = pauses.collect();
+    assert!(pauses.len() > 10, "{} units waited", pauses.len());
+    assert!(pauses.iter().all(|pause| *pause == 700), "{pauses:?}");
+}
+
 #[test]
 fn leaving_primary_serves_until_another_is_promoted() {
     let mut sim = Simulation::new(14);
