Send other vms what has changed in the configuration as well

Cause: each change of the configuration sent all of it to every vm.

Change: SnapshotDelta holds the changes of the configuration (by route, account, key, group) beside those of the topology. It is applied only to the version that it was made for.

--- a/crates/proxy/src/configuration.rs
+++ b/crates/proxy/src/configuration.rs
@@ -1,6 +1,7 @@
 //! Operators' configuration: routes, accounts with their keys, and groups.
 
 mod account;
+mod configuration_delta;
 mod group_limits;
 mod key;
 mod regions;
@@ -17,6 +18,7 @@
 use serde::Serialize;
 
 pub use account::Account;
+pub use configuration_delta::ConfigurationDelta;
 pub use group_limits::GroupLimits;
 pub use key::Key;
 pub use regions::RegionSet;
--- a/crates/proxy/src/link/frame.rs
+++ b/crates/proxy/src/link/frame.rs
@@ -224,7 +224,7 @@
     /// Whether the sender had known the snapshot's era for long enough when it was read.
     #[prost(bool, tag = "5")]
     pub settled: bool,
-    /// What the topology has changed against the snapshot that the requesting vm named, as JSON.
+    /// What has changed against the snapshot that the requesting vm named, as JSON.
     #[prost(bytes = "bytes", tag = "6")]
     pub delta: Bytes,
 }
--- a/crates/proxy/src/link_handler/snapshot_replies.rs
+++ b/crates/proxy/src/link_handler/snapshot_replies.rs
@@ -12,7 +12,7 @@
 use crate::link::frame::AskSnapshot;
 use crate::link::frame::SnapshotReply;
 use crate::snapshot::Fingerprint;
-use crate::snapshot::TopologyDelta;
+use crate::snapshot::SnapshotDelta;
 use crate::sync::lock;
 
 /// Part of a view that a vm lacks.
@@ -22,7 +22,7 @@
     Whole,
     /// Topology; the vm has the configuration.
     Topology,
-    /// Changes of the topology since the view with this fingerprint, which the vm has.
+    /// Changes since the view with this fingerprint, which the vm has.
     Delta(Fingerprint),
 }
 
@@ -91,15 +91,14 @@
         if known.fingerprint == view.fingerprint.0 {
             return None;
         }
-        if known.version != view.snapshot.configuration.version.0 {
-            return known.whole.then_some(Part::Whole);
-        }
         let base = Fingerprint(known.fingerprint);
         if self.latest_view.earlier_view(base).is_some() {
-            Some(Part::Delta(base))
-        } else {
-            Some(Part::Topology)
+            return Some(Part::Delta(base));
+        }
+        if known.version != view.snapshot.configuration.version.0 {
+            return known.whole.then_some(Part::Whole);
         }
+        Some(Part::Topology)
     }
 
     fn encoded(&self, part: Part, view: &FleetView) -> Result<Bytes, serde_json::Error> {
@@ -117,7 +116,6 @@
     }
 
     fn encode(&self, part: Part, view: &FleetView) -> Result<Vec<u8>, serde_json::Error> {
-        let topology = view.snapshot.topology();
         let base = match part {
             Part::Whole => return serde_json::to_vec(&view.snapshot),
             Part::Topology => None,
@@ -125,10 +123,10 @@
         };
         match base {
             Some(base) => {
-                let base = base.snapshot.topology();
-                serde_json::to_vec(&TopologyDelta::between(&base, &topology))
+                let delta = SnapshotDelta::between(&base.snapshot, &view.snapshot);
+                serde_json::to_vec(&delta)
             }
-            None => serde_json::to_vec(&topology),
+            None => serde_json::to_vec(&view.snapshot.topology()),
         }
     }
 }
--- a/crates/proxy/src/snapshot.rs
+++ b/crates/proxy/src/snapshot.rs
@@ -1,5 +1,6 @@
 //! Snapshot of the platform's store: configuration, upstreams and vms.
 
+mod snapshot_delta;
 mod topology_delta;
 
 use std::collections::BTreeMap;
@@ -13,6 +14,7 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+pub use snapshot_delta::SnapshotDelta;
 pub use topology_delta::TopologyDelta;
 
 use crate::configuration::Configuration;
--- a/crates/proxy/src/vm/refresher/peers.rs
+++ b/crates/proxy/src/vm/refresher/peers.rs
@@ -19,7 +19,7 @@
 use crate::link::frame::SnapshotReply;
 use crate::snapshot::Fingerprint;
 use crate::snapshot::Snapshot;
-use crate::snapshot::TopologyDelta;
+use crate::snapshot::SnapshotDelta;
 
 /// Maximum wait for another vm's reply, beyond the time for which that vm may wait itself.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -200,8 +200,8 @@
 ) -> Result<Snapshot, SnapshotError> {
     match known {
         Some(known) if !reply.delta.is_empty() => {
-            let delta: TopologyDelta = serde_json::from_slice(&reply.delta)?;
-            let snapshot = known.with_topology(delta.apply(&known.topology()));
+            let delta: SnapshotDelta = serde_json::from_slice(&reply.delta)?;
+            let snapshot = delta.apply(known).ok_or(SnapshotError::OtherBase)?;
             if snapshot.fingerprint()?.0 == reply.fingerprint {
                 Ok(snapshot)
             } else {
