--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -2,6 +2,7 @@
 
 mod client;
 pub(crate) mod frame;
+mod outgoing_reply;
 mod server;
 
 pub use client::Link;
@@ -9,6 +10,9 @@
 pub use client::Links;
 pub use frame::Ask;
 pub use frame::AskBody;
+pub use frame::AskSnapshot;
 pub use frame::Reply;
 pub use frame::ReplyBody;
+pub use frame::SnapshotReply;
+pub use outgoing_reply::OutgoingReply;
 pub use server::serve;
--- a/crates/proxy/src/link/server.rs
+++ b/crates/proxy/src/link/server.rs
@@ -12,6 +12,7 @@
 
 use crate::link::frame::Ask;
 use crate::link::frame::Reply;
+use crate::link::outgoing_reply::OutgoingReply;
 use crate::link_handler::LinkHandler;
 use crate::socket;
 
@@ -38,7 +39,7 @@
 
 async fn serve_link(stream: TcpStream, handler: Arc<LinkHandler>) {
     let (mut sink, mut requests) = framed::<_, Reply, Ask>(stream).split();
-    let (replies, mut outgoing) = mpsc::unbounded_channel::<Reply>();
+    let (replies, mut outgoing) = mpsc::unbounded_channel::<OutgoingReply>();
     let link = handler.open_link(replies);
     let reason = loop {
         tokio::select! {
@@ -48,10 +49,13 @@
                 Err(tokio::time::error::Elapsed { .. }) => break "silent",
             },
             reply = outgoing.recv() => {
-                let Some(reply) = reply else { break "unused" };
+                let Some(OutgoingReply { reply, permit }) = reply else { break "unused" };
                 let write = async {
+                    // Held until all is written.
+                    let mut permits = vec![permit];
                     sink.feed(reply).await?;
-                    while let Ok(reply) = outgoing.try_recv() {
+                    while let Ok(OutgoingReply { reply, permit }) = outgoing.try_recv() {
+                        permits.push(permit);
                         sink.feed(reply).await?;
                     }
                     sink.flush().await
--- a/crates/proxy/src/link_handler.rs
+++ b/crates/proxy/src/link_handler.rs
@@ -12,6 +12,8 @@
 
 use mustardbay_policy::names::AccountName;
 use mustardbay_policy::names::GroupName;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 
 use crate::clock::BootInstant;
@@ -20,6 +22,7 @@
 use crate::latest_view::LatestView;
 use crate::link::Ask;
 use crate::link::AskBody;
+use crate::link::OutgoingReply;
 use crate::link::Reply;
 use crate::link::ReplyBody;
 use crate::link::frame::AskSnapshot;
@@ -29,6 +32,7 @@
 use crate::link::frame::HandOverReply;
 use crate::link::frame::HandedAccount;
 use crate::link::frame::ReachReply;
+use crate::link::frame::SnapshotReply;
 use crate::link_handler::snapshot_replies::SnapshotReplies;
 use crate::pool::Cause;
 use crate::pool::Input;
@@ -46,6 +50,9 @@
 /// Delay after which a session may retry if this vm does not know its group.
 const UNKNOWN_GROUP_RETRY_MS: u32 = 200;
 
+/// Whole snapshots that are sent to other vms at a time.
+const MAX_WHOLE_SNAPSHOTS: usize = 2;
+
 /// Channel for the inputs of a group's pool.
 pub type PoolInbox = mpsc::UnboundedSender<Input>;
 
@@ -54,10 +61,12 @@
 pub struct LinkHandler {
     latest_view: Arc<LatestView>,
     pools: Mutex<BTreeMap<GroupName, PoolInbox>>,
-    links: Mutex<BTreeMap<u64, mpsc::UnboundedSender<Reply>>>,
+    links: Mutex<BTreeMap<u64, mpsc::UnboundedSender<OutgoingReply>>>,
     next_link: AtomicU64,
     authority: Mutex<Authority>,
     snapshot_replies: SnapshotReplies,
+    /// Permits to send a whole snapshot.
+    whole_snapshots: Arc<Semaphore>,
 }
 
 impl LinkHandler {
@@ -68,6 +77,7 @@
     pub fn new(latest_view: Arc<LatestView>, rate_window: Duration) -> Self {
         Self {
             snapshot_replies: SnapshotReplies::new(Arc::clone(&latest_view)),
+            whole_snapshots: Arc::new(Semaphore::new(MAX_WHOLE_SNAPSHOTS)),
             latest_view,
             pools: Mutex::default(),
             links: Mutex::default(),
@@ -77,7 +87,7 @@
     }
 
     /// Registers a link and the channel for its replies; returns the link's number.
-    pub fn open_link(&self, replies: mpsc::UnboundedSender<Reply>) -> u64 {
+    pub fn open_link(&self, replies: mpsc::UnboundedSender<OutgoingReply>) -> u64 {
         let link = self.next_link.fetch_add(1, Ordering::Relaxed);
         lock(&self.links).insert(link, replies);
         link
@@ -110,13 +120,25 @@
 
     /// Sends a reply on a link; the reply is dropped if the link is closed.
     pub fn reply(&self, link: u64, number: u64, body: impl Into<ReplyBody>) {
+        self.reply_holding(link, number, body, None);
+    }
+
+    /// Sends a reply on a link, with a permit that is given back once it is written.
+    fn reply_holding(
+        &self,
+        link: u64,
+        number: u64,
+        body: impl Into<ReplyBody>,
+        permit: Option<OwnedSemaphorePermit>,
+    ) {
         let reply = Reply {
             number,
             body: Some(body.into()),
         };
+        let outgoing = OutgoingReply { reply, permit };
         let sent = lock(&self.links)
             .get(&link)
-            .is_some_and(|replies| replies.send(reply).is_ok());
+            .is_some_and(|replies| replies.send(outgoing).is_ok());
         if !sent {
             tracing::debug!(event = "reply_dropped", link, number);
         }
@@ -246,6 +268,9 @@
     }
 
     /// Replies with the view; a whole snapshot is encoded on a blocking thread.
+    ///
+    /// Beyond [`MAX_WHOLE_SNAPSHOTS`] at a time the reply is empty, and the requesting vm asks another one:
+    /// when a large fleet starts, more transfers at once would share this vm's link and all come too late.
     fn send_snapshot(self: &Arc<Self>, link: u64, number: u64, ask: AskSnapshot) {
         if ask.max_wait_ms > 0 && self.latest_view.view().is_none() {
             self.send_first_snapshot(link, number, ask);
@@ -256,10 +281,19 @@
             self.reply(link, number, ReplyBody::SnapshotReply(snapshot_reply));
             return;
         }
+        let Ok(permit) = Arc::clone(&self.whole_snapshots).try_acquire_owned() else {
+            tracing::debug!(event = "snapshot_not_sent", link, number);
+            self.reply(
+                link,
+                number,
+                ReplyBody::SnapshotReply(SnapshotReply::default()),
+            );
+            return;
+        };
         let handler = Arc::clone(self);
         tokio::task::spawn_blocking(move || {
-            let snapshot_reply = handler.snapshot_replies.reply(ask);
-            handler.reply(link, number, ReplyBody::SnapshotReply(snapshot_reply));
+            let body = ReplyBody::SnapshotReply(handler.snapshot_replies.reply(ask));
+            handler.reply_holding(link, number, body, Some(permit));
         });
     }
 
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -27,7 +27,7 @@
 use crate::link;
 use crate::link::Link;
 use crate::link::Links;
-use crate::link::Reply;
+use crate::link::OutgoingReply;
 use crate::link_handler::LinkHandler;
 use crate::platform::Platform;
 use crate::pool::Input;
@@ -211,7 +211,7 @@
 fn open_own_link(handler: &Arc<LinkHandler>) -> Arc<Link> {
     let (link, mut requests) = Link::new();
     let link = Arc::new(link);
-    let (replies, mut received) = tokio::sync::mpsc::unbounded_channel::<Reply>();
+    let (replies, mut received) = tokio::sync::mpsc::unbounded_channel::<OutgoingReply>();
     let number = handler.open_link(replies);
     let handling = Arc::clone(handler);
     tokio::spawn(async move {
@@ -221,8 +221,8 @@
     });
     let resolving = Arc::clone(&link);
     tokio::spawn(async move {
-        while let Some(reply) = received.recv().await {
-            resolving.resolve(reply);
+        while let Some(outgoing) = received.recv().await {
+            resolving.resolve(outgoing.reply);
         }
     });
     link
--- a/crates/proxy/src/vm/refresher/peers.rs
+++ b/crates/proxy/src/vm/refresher/peers.rs
@@ -51,35 +51,40 @@
 
     /// Asks a vm for its snapshot; returns nothing unless it has a newer one than `known`.
     pub(super) async fn ask(&self, member: &Member, known: &FleetView) -> Option<FleetView> {
-        self.fetch(member, Some(known), Duration::ZERO).await
+        self.fetch(member, Some(known)).await
     }
 
-    /// Asks all `members` at once for a first snapshot; returns the first reply and the vm that sent it.
+    /// Asks all `members` at once for a first snapshot; returns that of the first that has one.
+    ///
+    /// Only that one sends it whole.
     pub(super) async fn ask_first(&self, members: Vec<Member>) -> Option<(FleetView, VmName)> {
-        let requests: FuturesUnordered<_> = members
+        let request = SnapshotRequest {
+            known: None,
+            delta: false,
+            whole: false,
+            max_wait: FIRST_VIEW_WAIT,
+        };
+        let offers: FuturesUnordered<_> = members
             .iter()
             .map(|member| async move {
-                let view = self.fetch(member, None, FIRST_VIEW_WAIT).await?;
-                Some((view, member.vm.clone()))
+                let reply = self.send_request(member, request).await?;
+                (reply.fingerprint != 0).then_some(member)
             })
             .collect();
-        let mut replies = requests.filter_map(std::future::ready);
-        replies.next().await
+        let mut offers = offers.filter_map(std::future::ready);
+        let member = offers.next().await?;
+        let view = self.fetch(member, None).await?;
+        Some((view, member.vm.clone()))
     }
 
     /// Requests the whole snapshot only if the configuration is new, since it may take long to send.
-    async fn fetch(
-        &self,
-        member: &Member,
-        known: Option<&FleetView>,
-        max_wait: Duration,
-    ) -> Option<FleetView> {
+    async fn fetch(&self, member: &Member, known: Option<&FleetView>) -> Option<FleetView> {
         let mut asked = BootInstant::now();
         let request = SnapshotRequest {
             known,
             delta: true,
             whole: false,
-            max_wait,
+            max_wait: Duration::ZERO,
         };
         let mut reply = self.send_request(member, request).await?;
         let as_of = asked.before(Duration::from_millis(reply.age_ms));
@@ -112,6 +117,10 @@
                 ..request
             };
             reply = self.send_request(member, request).await?;
+            if reply.fingerprint == 0 {
+                tracing::debug!(event = "snapshot_not_offered", vm = %member.vm);
+                return None;
+            }
         }
         decode(reply, known, asked, &member.vm).await
     }
