--- a/crates/proxy/src/pool/departure.rs
+++ b/crates/proxy/src/pool/departure.rs
@@ -13,7 +13,7 @@
 /// Whether an upstream may be given new work, and if not, why.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Availability {
-    /// It may.
+    /// It may be given new work.
     Available,
     /// It is leaving its group.
     Leaving,
--- a/crates/proxy/src/pool/evacuation.rs
+++ b/crates/proxy/src/pool/evacuation.rs
@@ -27,7 +27,7 @@
 
     /// Gives up an evacuated primary once another upstream is registered as the primary.
     ///
-    /// Nothing is sent to it any more that it could answer with the news itself.
+    /// Nothing is sent to it any more, so it cannot tell that it was replaced.
     fn doubt_evacuated_primary(&mut self, now: BootInstant) {
         let Some(name) = self.primary.upstream().cloned() else {
             return;
