--- a/review/standins/caller.rs
+++ b/review/standins/caller.rs
@@ -150,16 +150,22 @@
 
     /// Tells whether the other side has ended the connection.
     pub fn has_ended(&mut self) -> bool {
-        self.wait_at_most(Duration::from_millis(1));
+        self.block(false);
         let mut byte = [0_u8; 1];
         let ended = match self.reader.read(&mut byte) {
             Ok(count) => count == 0,
             Err(e) => e.kind() != ErrorKind::WouldBlock,
         };
-        self.wait_at_most(MAX_WAIT);
+        self.block(true);
         ended
     }
 
+    fn block(&self, blocks: bool) {
+        if let Err(e) = self.reader.get_ref().set_nonblocking(!blocks) {
+            self.note(&format!("the connection's mode was not set: {e}"));
+        }
+    }
+
     fn wait_at_most(&self, time: Duration) {
         if let Err(e) = self.reader.get_ref().set_read_timeout(Some(time)) {
             self.note(&format!("the read timeout was not set: {e}"));
