--- a/review/standins/case/evacuated_backend.rs
+++ b/review/standins/case/evacuated_backend.rs
@@ -22,6 +22,8 @@
 const EVACUATION: Duration = Duration::from_millis(5_000);
 /// Index of the server in the evacuated zone, a replica.
 const EVACUATED: usize = 2;
+/// Time for which the server is cut off from the store: the default length of `srv_cut`.
+const CUT: Duration = Duration::from_millis(5_000);
 /// Clients that read.
 const READERS: usize = 6;
 
@@ -57,11 +59,11 @@
     if trouble {
         site.cut_from_store(EVACUATED, true);
     }
-    std::thread::sleep(Duration::from_millis(9_000));
+    std::thread::sleep(CUT);
     if trouble {
         site.cut_from_store(EVACUATED, false);
     }
-    std::thread::sleep(Duration::from_millis(2_000));
+    std::thread::sleep(Duration::from_millis(4_000));
     stop.store(true, Ordering::Relaxed);
     for reader in readers {
         reader.join().map_err(|_| "a client failed")?;
