Promote only an upstream that has every acknowledged commit

What callers saw: with syncReplicas 1, a replica was draining and had every commit, the other had received nothing for 3 s, and the primary crashed.

Cause: candidates were compared by "not draining" first and by their log second; only an evacuated primary's successor had to have received all; and sync_replicas was decoded and read nowhere, so the statuses of the first 100 ms decided.

The vm's log named only whom it promoted; succession and promotion_put_off now show each upstream's received position and what speaks against it.

Change (group/required.rs): a lost primary is followed by the most advanced log, and draining decides between equals. A working primary, draining or evacuated, is followed by one that has received what it had when the choice began. With syncReplicas N nobody is promoted after a loss while N replicas have not answered since; they are asked again every 100 ms. It works because a commit is acknowledged once N replicas have it: if fewer than N are silent, one that answered has it, and so has the furthest.

--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -2,8 +2,10 @@
 
 mod action;
 mod failover;
+mod required;
 
 pub use action::Action;
 pub use action::Event;
 pub use action::FencingToken;
 pub use failover::Failover;
+pub use required::Unmet;
--- a/crates/proxy/src/group/failover.rs
+++ b/crates/proxy/src/group/failover.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use mustardbay_policy::names::UpstreamName;
-use mustardbay_policy::position::Position;
 
 use crate::clock::BootInstant;
 use crate::group::action::Action;
 use crate::group::action::Event;
 use crate::group::action::FencingToken;
+use crate::group::required::Required;
+use crate::group::required::Unmet;
 use crate::pool::Contact;
 
 /// Time for which a primary must have been failing before other vms are asked: longer than a statement.
@@ -17,8 +18,8 @@
 const NO_PRIMARY_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time to collect statuses before the new primary is chosen, and between two requests for them.
 const STATUS_WAIT: Duration = Duration::from_millis(100);
-/// Maximum age of a status that counts in the choice of the new primary.
-const MAX_STATUS_AGE: Duration = Duration::from_millis(500);
+/// Time for which statuses are asked for again while none of the upstreams may be chosen.
+const MAX_COLLECT_TIME: Duration = Duration::from_millis(500);
 /// Time to wait until the promoted upstream is seen as primary; then the promotion is tried again.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Delay after a failed action, or after another vm was found to reach the primary.
@@ -34,7 +35,11 @@
     /// The promotion duty is being claimed.
     Claiming,
     /// Statuses are being collected.
-    CollectingStatuses { since: BootInstant },
+    CollectingStatuses {
+        since: BootInstant,
+        /// When statuses were last requested.
+        asked: BootInstant,
+    },
     /// The promotion call is in flight.
     Promoting { chosen: UpstreamName },
     /// The chosen upstream is expected to become primary.
@@ -63,8 +68,10 @@
     /// Time from which a claim in advance may be tried again.
     claim_after: BootInstant,
     no_primary_since: Option<BootInstant>,
-    /// Position that the new primary must have received, if the old one is replaced while it works.
-    floor: Option<Position>,
+    /// What the new primary must have received.
+    required: Required,
+    /// Why the last choice found nobody; taken by the log.
+    unmet: Option<Unmet>,
 }
 
 impl Failover {
@@ -79,10 +86,21 @@
             paused_until: BootInstant::default(),
             claim_after: BootInstant::default(),
             no_primary_since: None,
-            floor: None,
+            required: Required::default(),
+            unmet: None,
         }
     }
 
+    /// Sets how many replicas have received a commit before it is acknowledged.
+    pub fn set_sync_replicas(&mut self, count: u32) {
+        self.required.sync_replicas = usize::try_from(count).unwrap_or(usize::MAX);
+    }
+
+    /// Returns why a choice was put off, once for each choice.
+    pub fn take_unmet(&mut self) -> Option<Unmet> {
+        self.unmet.take()
+    }
+
     /// Advances the failover with the current state of the upstreams; returns the next action, if any.
     pub fn tick(
         &mut self,
@@ -93,8 +111,8 @@
         self.update_primary(primary, contacts, now);
         match self.stage.clone() {
             Stage::Monitoring => self.check_primary(primary, contacts, now),
-            Stage::CollectingStatuses { since } if now.since(since) >= STATUS_WAIT => {
-                self.choose(primary, contacts, now)
+            Stage::CollectingStatuses { since, asked } if now.since(asked) >= STATUS_WAIT => {
+                self.choose(primary, contacts, since, now)
             }
             Stage::Confirming { since, .. } if now.since(since) >= CONFIRM_TIMEOUT => {
                 self.stage = Stage::Claiming;
@@ -135,7 +153,10 @@
             }
             (Stage::Claiming, Event::Claimed(token)) => {
                 self.store_token(token);
-                self.stage = Stage::CollectingStatuses { since: now };
+                self.stage = Stage::CollectingStatuses {
+                    since: now,
+                    asked: now,
+                };
                 Some(Action::AskStatus)
             }
             (Stage::Promoting { chosen }, Event::Accepted | Event::Unknown) => {
@@ -188,7 +209,10 @@
     /// Starts the choice with statuses that were requested at `since`; claims first if there is no token.
     fn start_choice_since(&mut self, since: BootInstant) -> Option<Action> {
         if self.token.is_some() {
-            self.stage = Stage::CollectingStatuses { since };
+            self.stage = Stage::CollectingStatuses {
+                since,
+                asked: since,
+            };
             return None;
         }
         self.stage = Stage::Claiming;
@@ -243,12 +267,14 @@
             if now.since(since) < NO_PRIMARY_TIMEOUT || contacts.is_empty() {
                 return None;
             }
-            self.floor = None;
+            self.required.floor = None;
             return Some(self.start_choice(now));
         };
         let contact = contacts.iter().find(|c| c.registration.name == *primary)?;
         let suspect = is_suspect(contact);
-        self.floor = contact.position.filter(|_| contact.evacuated && !suspect);
+        self.required.floor = contact
+            .position
+            .filter(|_| contact.is_departing() && !suspect);
         if contact.is_departing() && has_candidate(primary, contacts) {
             return Some(self.start_choice(now));
         }
@@ -259,22 +285,17 @@
         None
     }
 
-    /// Promotes the upstream with the highest received log position, a draining one only if no other is left.
-    ///
-    /// While an evacuated primary works, none is promoted that lacks what the primary has acknowledged.
+    /// Promotes the upstream with the most advanced log, or puts the choice off.
     fn choose(
         &mut self,
         primary: Option<&UpstreamName>,
         contacts: &[Contact],
+        since: BootInstant,
         now: BootInstant,
     ) -> Option<Action> {
-        let chosen = candidates(primary, contacts)
-            .filter(|(received, ..)| self.floor.is_none_or(|floor| *received >= floor))
-            .max_by_key(|(received, draining, _)| (!draining, *received))
-            .map(|(_, _, name)| name);
-        let Some(chosen) = chosen else {
-            self.back_off(now);
-            return None;
+        let chosen = match self.required.choose(primary, contacts, now.since(since)) {
+            Ok(chosen) => chosen,
+            Err(unmet) => return self.put_off(unmet, since, now),
         };
         // A token is used once: an earlier unanswered call with the same token could take effect later.
         let Some(token) = self.token.take() else {
@@ -286,6 +307,17 @@
         };
         Some(Action::Promote(chosen, token))
     }
+
+    /// Asks for statuses once more, or ends the choice without a promotion.
+    fn put_off(&mut self, unmet: Unmet, since: BootInstant, now: BootInstant) -> Option<Action> {
+        if unmet == Unmet::NoCandidate || now.since(since) >= MAX_COLLECT_TIME {
+            self.unmet = Some(unmet);
+            self.back_off(now);
+            return None;
+        }
+        self.stage = Stage::CollectingStatuses { since, asked: now };
+        Some(Action::AskStatus)
+    }
 }
 
 impl Default for Failover {
@@ -314,22 +346,3 @@
     let failing = contact.failing;
     failing.is_some_and(|failing| failing >= SUSPECT_AFTER)
 }
-
-/// Returns the upstreams that can be promoted: received position, whether it is draining, name.
-fn candidates<'a>(
-    primary: Option<&'a UpstreamName>,
-    contacts: &'a [Contact],
-) -> impl Iterator<Item = (Position, bool, UpstreamName)> + 'a {
-    contacts.iter().filter_map(move |contact| {
-        let name = &contact.registration.name;
-        let (status, age) = contact.status?;
-        let usable = primary != Some(name)
-            && !contact.evacuated
-            && contact.failing.is_none()
-            && age <= MAX_STATUS_AGE;
-        usable.then(|| {
-            let draining = contact.registration.draining;
-            (status.received, draining, name.clone())
-        })
-    })
-}
--- /dev/null
+++ b/crates/proxy/src/group/required.rs
@@ -0,0 +1,122 @@
+//! Choice of the upstream to promote: it must have received every acknowledged commit.
+
+use std::time::Duration;
+
+use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Position;
+
+use crate::pool::Contact;
+
+/// Maximum age of a status that counts in the choice of the new primary.
+const MAX_STATUS_AGE: Duration = Duration::from_millis(500);
+
+/// Why no upstream may be promoted at present.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unmet {
+    /// No upstream that is reachable can be the primary.
+    NoCandidate,
+    /// No candidate has received what the working primary had acknowledged, up to this position.
+    Behind(Position),
+    /// So many replicas have not answered that only they may hold an acknowledged commit.
+    Unanswered(usize),
+}
+
+/// What the new primary must have received.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Required {
+    /// Position of the old primary, if that is replaced while it works.
+    pub(super) floor: Option<Position>,
+    /// Replicas that have received a commit before it is acknowledged.
+    pub(super) sync_replicas: usize,
+}
+
+impl Required {
+    /// Chooses the upstream to promote; `asked` is the time since statuses were first requested.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no upstream can be promoted, or if an acknowledged commit might be lost.
+    pub(super) fn choose(
+        &self,
+        primary: Option<&UpstreamName>,
+        contacts: &[Contact],
+        asked: Duration,
+    ) -> Result<UpstreamName, Unmet> {
+        let candidates: Vec<Candidate> = candidates(primary, contacts).collect();
+        if candidates.is_empty() {
+            return Err(Unmet::NoCandidate);
+        }
+        match self.floor {
+            Some(floor) => successor(candidates, floor).ok_or(Unmet::Behind(floor)),
+            None => {
+                self.check_answers(primary, contacts, asked)?;
+                most_advanced(candidates).ok_or(Unmet::NoCandidate)
+            }
+        }
+    }
+
+    /// Checks that a commit that `sync_replicas` replicas have received is at one that answered.
+    fn check_answers(
+        &self,
+        primary: Option<&UpstreamName>,
+        contacts: &[Contact],
+        asked: Duration,
+    ) -> Result<(), Unmet> {
+        let silent = unanswered(primary, contacts, asked);
+        if self.sync_replicas > 0 && silent >= self.sync_replicas {
+            return Err(Unmet::Unanswered(silent));
+        }
+        Ok(())
+    }
+}
+
+/// Upstream that can be promoted.
+#[derive(Debug, Clone)]
+struct Candidate {
+    name: UpstreamName,
+    received: Position,
+    draining: bool,
+}
+
+/// Returns the successor of a primary that works: one that has all, and is not draining if possible.
+fn successor(candidates: Vec<Candidate>, floor: Position) -> Option<UpstreamName> {
+    let complete = candidates.into_iter().filter(|c| c.received >= floor);
+    let best = complete.max_by_key(|c| (!c.draining, c.received))?;
+    Some(best.name)
+}
+
+/// Returns the successor of a lost primary: the one with the most advanced log, even if it is draining.
+fn most_advanced(candidates: Vec<Candidate>) -> Option<UpstreamName> {
+    let candidates = candidates.into_iter();
+    let best = candidates.max_by_key(|c| (c.received, !c.draining))?;
+    Some(best.name)
+}
+
+/// Returns the upstreams that can be promoted.
+fn candidates(
+    primary: Option<&UpstreamName>,
+    contacts: &[Contact],
+) -> impl Iterator<Item = Candidate> {
+    contacts.iter().filter_map(move |contact| {
+        let name = &contact.registration.name;
+        let (status, age) = contact.status?;
+        let usable = primary != Some(name)
+            && !contact.evacuated
+            && contact.failing.is_none()
+            && age <= MAX_STATUS_AGE;
+        usable.then(|| Candidate {
+            name: name.clone(),
+            received: status.received,
+            draining: contact.registration.draining,
+        })
+    })
+}
+
+/// Returns how many replicas have not reported a status since `asked` ago.
+fn unanswered(primary: Option<&UpstreamName>, contacts: &[Contact], asked: Duration) -> usize {
+    let replicas = contacts
+        .iter()
+        .filter(|contact| primary != Some(&contact.registration.name));
+    let silent = replicas.filter(|contact| contact.status.is_none_or(|(_, age)| age > asked));
+    silent.count()
+}
--- a/crates/proxy/src/pool/state.rs
+++ b/crates/proxy/src/pool/state.rs
@@ -1,6 +1,7 @@
 //! State of a pool for metrics, state dumps and the failover.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 use mustardbay_policy::names::UpstreamName;
@@ -39,6 +40,26 @@
     }
 }
 
+/// Shows name, received position and its age, and what speaks against a promotion.
+impl fmt::Display for Contact {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:", self.registration.name)?;
+        match self.status {
+            Some((status, age)) => write!(f, "{}@{}ms", status.received, age.as_millis())?,
+            None => write!(f, "none")?,
+        }
+        let marks = [
+            (self.registration.draining, "+draining"),
+            (self.evacuated, "+evacuated"),
+            (self.failing.is_some(), "+failing"),
+        ];
+        let present = marks.iter().filter(|(present, _)| *present);
+        present
+            .map(|(_, mark)| *mark)
+            .try_for_each(|mark| f.write_str(mark))
+    }
+}
+
 /// State of a pool, serialized into state dumps.
 #[derive(Debug, Clone, Serialize)]
 pub struct PoolState {
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -66,6 +66,13 @@
         let mut evacuated = self.upstreams.iter().filter(|contact| contact.evacuated);
         evacuated.any(|contact| Some(&contact.registration.name) == self.primary.as_ref())
     }
+
+    /// Returns the last status of each upstream as one log field, separated by commas.
+    #[must_use]
+    pub fn statuses(&self) -> String {
+        let words: Vec<String> = self.upstreams.iter().map(Contact::to_string).collect();
+        words.join(",")
+    }
 }
 
 /// Channels to a pool's task.
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -197,6 +197,10 @@
         let action = watched
             .failover
             .tick(contacts.primary.as_ref(), &contacts.upstreams, now);
+        if let Some(unmet) = watched.failover.take_unmet() {
+            tracing::warn!(event = "promotion_put_off", group = %group, unmet = ?unmet,
+                statuses = %contacts.statuses());
+        }
         if let Some(action) = action {
             self.start_action(&group, action, Some(&contacts), ctx.actor_ref());
         }
@@ -296,6 +300,7 @@
                     promotion::release(&deps, group.clone(), token);
                 }
             }
+            watched.failover.set_sync_replicas(limits.sync_replicas);
             let inputs = [
                 Input::Upstreams {
                     registrations,
--- a/crates/proxy/src/vm/steward/promotion.rs
+++ b/crates/proxy/src/vm/steward/promotion.rs
@@ -43,7 +43,8 @@
             tracing::debug!(event = "succession", group = %group, action = ?action);
         } else {
             let evacuated = contacts.is_some_and(Contacts::is_primary_evacuated);
-            tracing::info!(event = "succession", group = %group, action = ?action, evacuated);
+            let statuses = contacts.map(Contacts::statuses);
+            tracing::info!(event = "succession", group = %group, action = ?action, evacuated, statuses);
         }
         match action {
             Action::AskStatus => self.ask_statuses(&group),
