Answer every statement before a stopping process ends

Cause: a session took every statement until it was closed, whatever time its route gives it, and the process ended at 97% of the grace whatever still ran. Nothing compared the two.

Change: what still runs at 92% of the grace is answered as far as it is known (a single write or a commit is in doubt, of the rest nothing is kept). From 40% on a single write is taken only if its route's whole time ends before; else it is refused as not run and the session is closed, so that the caller goes to another vm. No transaction begins after half of the grace, at which it would be aborted. The answers precede the end of the process by 5% of the grace, so a request that was read is always answered.

The same cause on related paths: a stopping home ended with its own sessions while it ran statements of other vms; it now waits for them, and transactions still open at 70% are rolled back, so that a commit after that is told as not kept. mustardbay-entry cut a batch at the end of drain_ms; it answers at 92% of it.

The transactions of a session moved to session/client/transactions.rs, unchanged but for the above.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::Weak;
+use std::time::Duration;
 
 use mustardbay_link::StewardLink;
 use mustardbay_policy::bundle::Upstream;
@@ -29,6 +30,9 @@
 use crate::sessions::Sessions;
 use crate::settings::EntrySettings;
 
+/// Percentage of the drain after which statements that still run are answered without their result.
+const LAST_ANSWER_PERCENT: u32 = 92;
+
 /// Shared state of one entry.
 pub(crate) struct Context {
     /// Settings of the process.
@@ -76,6 +80,23 @@
 }
 
 impl Context {
+    /// Waits until statements that still run are answered, because the process is about to end.
+    pub async fn until_last_answer(&self) {
+        let began = self.lifecycle.drain_started().await;
+        tokio::time::sleep_until(began + self.last_answer()).await;
+    }
+
+    /// Tells whether the time for answers is over, so that nothing is tried again.
+    pub fn is_ending(&self) -> bool {
+        let began = self.lifecycle.drain_began();
+        began.is_some_and(|began| began.elapsed() >= self.last_answer())
+    }
+
+    /// Returns the time from the start of the drain to the last answers.
+    fn last_answer(&self) -> Duration {
+        Duration::from_millis(self.settings.limits.drain_ms) * LAST_ANSWER_PERCENT / 100
+    }
+
     /// Creates the shared state.
     pub fn new(
         settings: EntrySettings,
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -162,9 +162,10 @@
             failed: false,
             started: false,
         };
-        let ended = request
-            .stream(&mut self.client, &mut self.answers, &self.observations)
-            .await;
+        let ended = tokio::select! {
+            ended = request.stream(&mut self.client, &mut self.answers, &self.observations) => ended,
+            () = self.ctx.until_last_answer() => Ok(request.give_up()),
+        };
         self.handle.clear_running();
         if matches!(ended, Err(_) | Ok(RequestOutcome::TimedOut)) {
             // The request may still open a transaction, which this session would never end.
--- a/crates/entry/src/session/pending_request.rs
+++ b/crates/entry/src/session/pending_request.rs
@@ -74,9 +74,7 @@
     ) -> Result<RequestOutcome, SessionEnd> {
         loop {
             let Ok(answer) = timeout_at(self.deadline, answers.recv()).await else {
-                self.link.cancel(self.request_number);
-                self.link.forget(self.request_number);
-                return Ok(RequestOutcome::TimedOut);
+                return Ok(self.give_up());
             };
             let Some((request_number, answer)) = answer else {
                 return Ok(RequestOutcome::Lost);
@@ -100,6 +98,13 @@
         }
     }
 
+    /// Cancels the request, whose outcome stays unknown.
+    pub fn give_up(&self) -> RequestOutcome {
+        self.link.cancel(self.request_number);
+        self.link.forget(self.request_number);
+        RequestOutcome::TimedOut
+    }
+
     async fn forward<S: Transport>(
         &mut self,
         messages: Bytes,
--- a/crates/entry/src/session/run.rs
+++ b/crates/entry/src/session/run.rs
@@ -148,7 +148,7 @@
                     self.take_retry() && self.wait_before_retry(&mut attempts).await
                 }
             };
-            if !retry || Instant::now() >= deadline {
+            if !retry || Instant::now() >= deadline || self.ctx.is_ending() {
                 return Ok(BatchOutcome::Refused(attempts.final_refusal(refused)));
             }
             self.ctx.metrics.retried();
--- a/crates/process/src/lifecycle.rs
+++ b/crates/process/src/lifecycle.rs
@@ -53,6 +53,12 @@
         *self.drain_started_at.get_or_init(Instant::now)
     }
 
+    /// Returns when the drain started, if it has.
+    #[must_use]
+    pub fn drain_began(&self) -> Option<Instant> {
+        self.drain_started_at.get().copied()
+    }
+
     /// Marks the process as stopped, with no requests in flight.
     pub fn stop(&self) {
         self.stopped.cancel();
--- a/crates/proxy/src/entry/admission.rs
+++ b/crates/proxy/src/entry/admission.rs
@@ -45,6 +45,8 @@
     KeyRefused,
     /// The configuration is older than `view_ttl`, or was never read; holds its age.
     NotCurrent(Option<Duration>),
+    /// The vm is stopping and might not answer in time.
+    Stopping,
     /// The account has no token left.
     RateSpent {
         /// The account.
@@ -61,7 +63,7 @@
         match self {
             Self::RouteUnknown => Code::RouteUnknown,
             Self::KeyRefused => Code::KeyRefused,
-            Self::NotCurrent(_) | Self::RateSpent { .. } => Code::Busy,
+            Self::NotCurrent(_) | Self::Stopping | Self::RateSpent { .. } => Code::Busy,
         }
     }
 
@@ -74,6 +76,7 @@
             Self::NotCurrent(age) => {
                 Refusal::new(Cause::NotCurrent, stale_view_retry_ms(*age)).text()
             }
+            Self::Stopping => Refusal::new(Cause::Draining, 0).text(),
             Self::RateSpent { retry_ms, .. } => Refusal::new(Cause::RateSpent, *retry_ms).text(),
         }
     }
@@ -93,6 +96,7 @@
         match self {
             Self::RateSpent { retry_ms, .. } => Some(*retry_ms),
             Self::NotCurrent(age) => Some(stale_view_retry_ms(*age)),
+            Self::Stopping => Some(0),
             Self::RouteUnknown | Self::KeyRefused => None,
         }
     }
@@ -104,6 +108,7 @@
             Self::RouteUnknown => "route_unknown",
             Self::KeyRefused => "key_refused",
             Self::NotCurrent(_) => "not_current",
+            Self::Stopping => "stopping",
             Self::RateSpent { .. } => "rate_spent",
         }
     }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -96,8 +96,8 @@
     cold_limit: Option<u32>,
     /// Whether this vm is the group's home, which polls the status of every upstream.
     home: bool,
-    /// Whether the vm is shutting down and refuses new units.
-    retired: bool,
+    /// If the vm is shutting down, when transactions that are still open are rolled back.
+    retired: Option<BootInstant>,
     /// Account for connections that are opened only to query the status of an upstream.
     status_account: Option<AccountName>,
     /// Mean times for which statements hold a slot.
@@ -124,7 +124,7 @@
             share: 0,
             cold_limit: None,
             home: false,
-            retired: false,
+            retired: None,
             status_account: None,
             service_times: ServiceTimes::new(),
             next_connection: 0,
@@ -169,7 +169,7 @@
                 self.cold_limit = cold_limit;
                 self.set_share(connections, home, status_account);
             }
-            Input::Retire => self.retired = true,
+            Input::Retire(transaction_end) => self.retired = Some(transaction_end),
             Input::Tick => self.tick(now),
         }
         self.dispatch(now);
--- a/crates/proxy/src/pool/input.rs
+++ b/crates/proxy/src/pool/input.rs
@@ -7,6 +7,7 @@
 use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::position::Position;
 
+use crate::clock::BootInstant;
 use crate::fleet::Cutoff;
 use crate::pool::connection::ConnectionId;
 use crate::pool::unit_id::UnitId;
@@ -80,8 +81,8 @@
         /// Account for connections that are opened only to query the status of an upstream.
         status_account: Option<AccountName>,
     },
-    /// The vm is shutting down: new units are refused.
-    Retire,
+    /// The vm is shutting down: new units are refused, and transactions still open then are rolled back.
+    Retire(BootInstant),
     /// Periodic tick, on which timeouts are checked.
     Tick,
 }
--- a/crates/proxy/src/pool/submit.rs
+++ b/crates/proxy/src/pool/submit.rs
@@ -157,7 +157,7 @@
 
     /// Returns the refusal of a unit that cannot be served in time.
     fn refusal_for(&self, unit: &WorkUnit, rank: Rank, now: BootInstant) -> Option<Refusal> {
-        if self.retired {
+        if self.retired.is_some() {
             return Some(Refusal::new(Cause::Draining, 0));
         }
         let need = self.need(unit, now);
--- a/crates/proxy/src/pool/tick.rs
+++ b/crates/proxy/src/pool/tick.rs
@@ -7,11 +7,13 @@
 use crate::pool::Pool;
 use crate::pool::connection::ConnectionId;
 use crate::pool::connection::Stage;
+use crate::pool::pending_unit::UnitStage;
 
 impl Pool {
     /// Checks timeouts, closes surplus connections and, at the home, polls the upstreams' status.
     pub(super) fn tick(&mut self, now: BootInstant) {
         self.withdraw_connections(now);
+        self.end_transactions(now);
         self.expire_connections(now);
         self.expire_waiting(now);
         self.close_surplus(now);
@@ -20,6 +22,26 @@
         }
     }
 
+    /// Rolls back open transactions shortly before the vm stops; their sessions hear of it when they go on.
+    ///
+    /// A statement that is sent later might be cut by the end of the process.
+    fn end_transactions(&mut self, now: BootInstant) {
+        if self.retired.is_none_or(|end| now < end) {
+            return;
+        }
+        let pinned = self
+            .units
+            .iter()
+            .filter_map(|(id, pending)| match pending.stage {
+                UnitStage::Pinned(connection) => Some((*id, connection)),
+                _ => None,
+            });
+        for (unit_id, connection) in pinned.collect::<Vec<_>>() {
+            self.units.remove(&unit_id);
+            self.roll_back(connection, now);
+        }
+    }
+
     /// Applies the number of connections that this vm may hold at each upstream.
     pub(super) fn set_share(
         &mut self,
@@ -35,7 +57,11 @@
     /// Closes idle connections beyond the share; all of them once the pool is retired.
     fn close_surplus(&mut self, now: BootInstant) {
         let names: Vec<UpstreamName> = self.upstreams.keys().cloned().collect();
-        let allowed = if self.retired { 0 } else { self.share as usize };
+        let allowed = if self.retired.is_some() {
+            0
+        } else {
+            self.share as usize
+        };
         for name in names {
             let held = self.connections_to(&name);
             let surplus = held.len().saturating_sub(allowed);
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -29,7 +29,7 @@
     let mut stream = Framed::new(stream, W::Caller::default());
     let schedule = DrainSchedule::new(number, entry.lifecycle.clone(), entry.timing.grace);
     let client = tokio::select! {
-        client = begin::<W>(&mut stream, number, &entry) => client,
+        client = begin::<W>(&mut stream, number, &entry, &schedule) => client,
         _ = schedule.until_close(true) => None,
     };
     let Some(mut client) = client else {
@@ -64,6 +64,9 @@
         if send::<W>(&mut stream, answer).await.is_err() {
             break "not read";
         }
+        if client.must_leave() {
+            break "drained";
+        }
     };
     client.abort_transaction(reason);
     tracing::debug!(event = "session_ended", session = number, reason);
@@ -74,12 +77,14 @@
     stream: &mut Framed<TcpStream, W::Caller>,
     number: u64,
     entry: &Arc<Entry>,
+    schedule: &DrainSchedule,
 ) -> Option<Client> {
     let first = tokio::time::timeout(drain_schedule::START_TIMEOUT, stream.next()).await;
     let Ok(Some(Ok(FromCaller::Start { route, key }))) = first else {
         return None;
     };
-    let started = Client::start(number, route, key, Arc::clone(entry)).await;
+    let entry = Arc::clone(entry);
+    let started = Client::start(number, route, key, entry, schedule.clone()).await;
     let (client, answer) = match started {
         Ok(client) => (Some(client), answer::ready()),
         Err(denial) => (None, vec![ToCaller::Error(denial.code(), denial.text())]),
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -1,5 +1,7 @@
 //! Client session: its state and the handling of its queries.
 
+mod transactions;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,10 +14,14 @@
 use crate::entry::AdmittedOperation;
 use crate::entry::Denial;
 use crate::entry::Entry;
+use crate::entry::Placement;
 use crate::entry::fresh_view;
 use crate::entry::look_up;
+use crate::pool::Cause;
 use crate::pool::Outcome;
+use crate::pool::Refusal;
 use crate::session::answer;
+use crate::session::drain_schedule::DrainSchedule;
 use crate::session::record::view_fields;
 use crate::session::session_state::SessionState;
 use crate::session::transaction::Progress;
@@ -45,6 +51,9 @@
     pub(super) route: RouteName,
     pub(super) key: Option<Key>,
     pub(super) entry: Arc<Entry>,
+    schedule: DrainSchedule,
+    /// Whether the session ends because the vm is stopping and has refused work.
+    leaving: bool,
     session_state: SessionState,
     /// Log position of the last commit that the session knows of; reads must see it.
     floor: Option<Position>,
@@ -64,6 +73,7 @@
         route: RouteName,
         key: Option<Key>,
         entry: Arc<Entry>,
+        schedule: DrainSchedule,
     ) -> Result<Self, Denial> {
         if let Err(denial) = check_start(&entry, &route, key.as_ref()).await {
             entry.vm_metrics.refused(denial.name());
@@ -77,6 +87,8 @@
             route,
             key,
             entry,
+            schedule,
+            leaving: false,
             session_state: SessionState::default(),
             floor: None,
             transaction: None,
@@ -90,6 +102,11 @@
             .is_none_or(|t| !matches!(t.progress, Progress::Running(_)))
     }
 
+    /// Tells whether the session is to be closed, so that its client goes to another vm.
+    pub(super) fn must_leave(&self) -> bool {
+        self.leaving && self.transaction.is_none()
+    }
+
     /// Waits until the open transaction reaches its idle timeout.
     pub(super) async fn until_expiry(&self) {
         let running = self
@@ -228,30 +245,17 @@
         look_up(&view, &self.route, self.key.as_ref())
     }
 
-    async fn begin(&mut self, statement: Statement) -> Vec<ToCaller> {
-        match self.admit().await {
-            Ok(admitted) => {
-                self.transaction = Some(Transaction {
-                    begin: statement,
-                    admitted,
-                    progress: Progress::Begun,
-                    wrote: false,
-                    idle_since: BootInstant::now(),
-                });
-                answer::done(TransactionState::Open)
-            }
-            Err(denial) => self.deny(&statement.id, &denial, TransactionState::Idle),
-        }
-    }
-
     async fn run_single(&mut self, statement: Statement) -> Vec<ToCaller> {
         let admitted = match self.admit().await {
             Ok(admitted) => admitted,
             Err(denial) => return self.deny(&statement.id, &denial, TransactionState::Idle),
         };
         let writes = statement.verb() == Verb::Write;
+        if writes && !self.schedule.takes_statement(admitted.route.timeout) {
+            return self.refuse_to_start(&statement);
+        }
         let unit = self.unit(&admitted, statement, None);
-        let (outcome, _) = self.entry.router.run(unit).await;
+        let (outcome, _) = self.run_unit(unit).await;
         let answer = into_answer(outcome);
         if writes {
             self.note_commit(&answer);
@@ -259,73 +263,19 @@
         answer::relayed(answer, TransactionState::Idle)
     }
 
-    async fn run_in_transaction(&mut self, statement: Statement) -> Vec<ToCaller> {
-        if let Err(denial) = self.look_up()
-            && denial != Denial::RouteUnknown
-        {
-            self.abort_transaction(denial.name());
-            return self.deny(&statement.id, &denial, TransactionState::Failed);
-        }
-        let Some(mut transaction) = self.transaction.take() else {
-            return self.malformed();
-        };
-        let verb = statement.verb();
-        transaction.wrote |= verb == Verb::Write;
-        let settings = self.session_state.settings();
-        let outcome = match &transaction.progress {
-            Progress::Running(placement) => {
-                let left = transaction.admitted.route.timeout;
-                placement
-                    .resume(statement, settings, left, transaction.wrote)
-                    .await
-            }
-            Progress::Begun | Progress::Failed => {
-                let begin = Some(transaction.begin.clone());
-                let unit = self.unit(&transaction.admitted, statement, begin);
-                let (outcome, placement) = self.entry.router.run(unit).await;
-                if let Some(placement) = placement {
-                    transaction.progress = Progress::Running(placement);
-                }
-                outcome
-            }
-        };
-        self.finish_statement(transaction, verb, outcome)
-    }
-
-    /// Updates the transaction after the answer to one of its statements.
-    fn finish_statement(
-        &mut self,
-        mut transaction: Transaction,
-        verb: Verb,
-        outcome: Outcome,
-    ) -> Vec<ToCaller> {
-        let answer = into_answer(outcome);
-        let failure = answer.failure();
-        if verb == Verb::Commit {
-            if failure.is_none() && transaction.wrote {
-                self.note_commit(&answer);
-            }
-            let kept_open = failure.is_some() && answer.state() != TransactionState::Idle;
-            if kept_open {
-                transaction.fail();
-            }
-            return answer::relayed(answer, TransactionState::Idle);
-        }
-        transaction.idle_since = BootInstant::now();
-        let continues = failure.is_none() || answer.state() == TransactionState::Open;
-        if !continues {
-            transaction.fail();
-        }
-        self.transaction = Some(transaction);
-        answer::relayed(answer, self.state())
+    /// Refuses an operation that the vm might not answer before it stops.
+    fn refuse_to_start(&mut self, statement: &Statement) -> Vec<ToCaller> {
+        self.leaving = true;
+        self.deny(&statement.id, &Denial::Stopping, TransactionState::Idle)
     }
 
-    fn roll_back(&mut self) -> Vec<ToCaller> {
-        if let Some(transaction) = &mut self.transaction {
-            transaction.fail();
+    /// Runs a unit; if the vm stops before its outcome is known, that is told instead.
+    async fn run_unit(&self, unit: WorkUnit) -> (Outcome, Option<Placement>) {
+        let writes = unit.begin.is_none() && !unit.is_read();
+        tokio::select! {
+            done = self.entry.router.run(unit) => done,
+            () = self.schedule.until_last_answer() => (cut_off(writes), None),
         }
-        self.transaction = None;
-        answer::done(TransactionState::Idle)
     }
 
     fn unit(
@@ -394,6 +344,15 @@
     }
 }
 
+/// Returns the outcome of a statement that runs when the vm stops; only a commit lasts.
+fn cut_off(commits: bool) -> Outcome {
+    if commits {
+        Outcome::in_doubt("the vm stopped before the answer came")
+    } else {
+        Outcome::Refused(Refusal::new(Cause::Draining, 0))
+    }
+}
+
 /// Converts an outcome into the answer for the client.
 fn into_answer(outcome: Outcome) -> Answer {
     match outcome {
--- a/crates/proxy/src/session/drain_schedule.rs
+++ b/crates/proxy/src/session/drain_schedule.rs
@@ -1,8 +1,9 @@
-//! Schedule on which sessions are closed while their vm drains.
+//! Schedule of a session while its vm drains: until when it takes work, and when it closes.
 
 use std::time::Duration;
 
 use mustardbay_process::lifecycle::Lifecycle;
+use tokio::time::Instant;
 
 /// Timeout of a client's start message.
 pub(super) const START_TIMEOUT: Duration = Duration::from_secs(10);
@@ -16,8 +17,12 @@
 const IDLE_CLOSE_END_PERCENT: u32 = 75;
 /// Percentage of the grace after which no session starts; the rest is for its operations.
 pub const LAST_START_PERCENT: u32 = 70;
-/// Percentage of the grace after which open transactions are aborted.
+/// Percentage of the grace after which open transactions are aborted and none begins.
 const TRANSACTION_END_PERCENT: u32 = 50;
+/// Percentage of the grace after which statements that still run are answered without their result.
+///
+/// The process ends a little later, so that the answers reach their clients.
+const LAST_ANSWER_PERCENT: u32 = 92;
 /// Number of steps over which the closing of idle sessions is spread.
 const CLOSE_SLOTS: u32 = 32;
 
@@ -30,8 +35,8 @@
     Transaction,
 }
 
-/// Schedule on which one session is closed while its vm drains.
-#[derive(Debug)]
+/// Schedule on which one session ends while its vm drains.
+#[derive(Debug, Clone)]
 pub(super) struct DrainSchedule {
     lifecycle: Lifecycle,
     grace: Duration,
@@ -62,11 +67,39 @@
         if can_close {
             let percent = IDLE_CLOSE_START_PERCENT
                 + (IDLE_CLOSE_END_PERCENT - IDLE_CLOSE_START_PERCENT) * self.slot / CLOSE_SLOTS;
-            tokio::time::sleep_until(began + self.grace * percent / 100).await;
+            tokio::time::sleep_until(began + self.part(percent)).await;
             Close::Idle
         } else {
-            tokio::time::sleep_until(began + self.grace * TRANSACTION_END_PERCENT / 100).await;
+            tokio::time::sleep_until(began + self.part(TRANSACTION_END_PERCENT)).await;
             Close::Transaction
         }
     }
+
+    /// Waits until the statements that still run are answered without their result.
+    pub(super) async fn until_last_answer(&self) {
+        let began = self.lifecycle.drain_started().await;
+        tokio::time::sleep_until(began + self.part(LAST_ANSWER_PERCENT)).await;
+    }
+
+    /// Tells whether a statement may start that can take `longest`.
+    ///
+    /// It may if its result will be known in time, or if its client would come back to this vm.
+    pub(super) fn takes_statement(&self, longest: Duration) -> bool {
+        self.lifecycle.drain_began().is_none_or(|began| {
+            let now = Instant::now();
+            now < began + self.part(IDLE_CLOSE_START_PERCENT)
+                || now + longest <= began + self.part(LAST_ANSWER_PERCENT)
+        })
+    }
+
+    /// Tells whether a transaction may begin.
+    pub(super) fn takes_transactions(&self) -> bool {
+        self.lifecycle
+            .drain_began()
+            .is_none_or(|began| Instant::now() < began + self.part(TRANSACTION_END_PERCENT))
+    }
+
+    fn part(&self, percent: u32) -> Duration {
+        self.grace * percent / 100
+    }
 }
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -6,6 +6,7 @@
 mod steward;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use mustardbay_process::admin::Admin;
 use mustardbay_process::incarnation::incarnation;
@@ -41,6 +42,9 @@
 /// Part of the grace period after which the process ends even if sessions remain, in percent.
 const EXIT_PERCENT: u32 = 97;
 
+/// Time between two looks at the units that still run in this vm's pools.
+const UNITS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Why a vm could not start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -155,8 +159,8 @@
 
     lifecycle.drain_started().await;
     let leaving_fleet = leave_fleet(&settings, &handler, &vm_lease, platform.as_ref());
-    let sessions_ended = wait_for_sessions(&settings, &sessions);
-    tokio::join!(leaving_fleet, sessions_ended);
+    let work_ended = wait_for_work(&settings, &sessions, &vm_metrics);
+    tokio::join!(leaving_fleet, work_ended);
     Ok(())
 }
 
@@ -176,7 +180,8 @@
     platform: &dyn Platform,
 ) {
     tracing::info!(event = "vm_stopping", vm = %settings.vm);
-    handler.tell_pools(&Input::Retire);
+    let transaction_end = settings.grace() * session::LAST_START_PERCENT / 100;
+    handler.tell_pools(&Input::Retire(BootInstant::now().after(transaction_end)));
     if let Some(lease) = vm_lease.lease() {
         vm_lease.end();
         if let Err(e) = platform.end(lease).await {
@@ -185,15 +190,24 @@
     }
 }
 
-/// Waits until the sessions have ended, at most until [`EXIT_PERCENT`] of the grace period.
+/// Waits until the sessions and the units of other vms have ended, at most until [`EXIT_PERCENT`] of the grace.
 ///
 /// The listener still spawns sessions until late in the grace period, so the tracker is closed only then.
-async fn wait_for_sessions(settings: &VmSettings, sessions: &TaskTracker) {
+async fn wait_for_work(settings: &VmSettings, sessions: &TaskTracker, vm_metrics: &VmMetrics) {
     let end = tokio::time::Instant::now() + settings.grace() * EXIT_PERCENT / 100;
     tokio::time::sleep(settings.grace() * session::LAST_START_PERCENT / 100).await;
     sessions.close();
-    let ended = tokio::time::timeout_at(end, sessions.wait()).await.is_ok();
-    tracing::info!(event = "vm_stopped", vm = %settings.vm, ended, sessions = sessions.len());
+    let work_ended = async {
+        sessions.wait().await;
+        while vm_metrics.units() > 0 {
+            tokio::time::sleep(UNITS_CHECK_INTERVAL).await;
+        }
+        // The last replies are on their way to other vms.
+        tokio::time::sleep(UNITS_CHECK_INTERVAL).await;
+    };
+    let ended = tokio::time::timeout_at(end, work_ended).await.is_ok();
+    tracing::info!(event = "vm_stopped", vm = %settings.vm, ended, sessions = sessions.len(),
+        units = vm_metrics.units());
 }
 
 /// Returns this vm's entry in the member list.
--- a/crates/proxy/src/vm_metrics.rs
+++ b/crates/proxy/src/vm_metrics.rs
@@ -111,6 +111,16 @@
         Arc::clone(pools.entry(group.clone()).or_default())
     }
 
+    /// Returns the units that wait or run in the pools of this vm.
+    #[must_use]
+    pub fn units(&self) -> u64 {
+        let pools = lock(&self.pools);
+        pools
+            .values()
+            .map(|levels| levels.waiting() + levels.running())
+            .sum()
+    }
+
     /// Counts a statement by its outcome and records its duration.
     pub fn statement(&self, outcome: &'static str, took: Duration) {
         let outcome = [KeyValue::new("outcome", outcome)];
--- a/crates/proxy/tests/pool/faults.rs
+++ b/crates/proxy/tests/pool/faults.rs
@@ -192,7 +192,7 @@
 #[test]
 fn retired_pool_refuses_new_units() {
     let mut sim = Simulation::new(14);
-    sim.feed(Input::Retire);
+    sim.retire(Duration::from_secs(4));
     let unit = sim.submit(single(Verb::Write, "w"));
     assert!(matches!(sim.outcome(unit), Outcome::Refused(r) if r.cause() == Cause::Draining));
 }
@@ -201,7 +201,7 @@
 #[test]
 fn refusal_is_logged_with_its_request() {
     let mut sim = Simulation::new(14);
-    sim.feed(Input::Retire);
+    sim.retire(Duration::from_secs(4));
     sim.submit(single(Verb::Write, "w"));
     let noted = sim.notes.iter().any(|note| {
         matches!(note, Note::Refused { request, refusal, .. }
@@ -210,6 +210,32 @@
     assert!(noted, "{:?}", sim.notes);
 }
 
+/// Guards against a statement that is sent just before the process of the home ends (LOST).
+///
+/// A commit that was not sent is told as not kept; one that was sent is waited for.
+#[test_case(Duration::from_millis(3_000), None; "in_time")]
+#[test_case(Duration::from_millis(4_100), Some(Code::Aborted); "too_late")]
+fn transaction_at_a_retired_pool_may_end_in_time(after: Duration, code: Option<Code>) {
+    let mut sim = Simulation::new(14);
+    let unit = sim.submit(first_of_transaction(Verb::Write, "w1"));
+    sim.run(Duration::from_millis(100));
+    sim.retire(Duration::from_secs(4));
+    sim.run(after);
+    sim.feed(Input::Continue {
+        unit_id: unit_id(unit),
+        statement: Statement::new("c", Verb::Commit, "c"),
+        settings: Vec::new(),
+        left: Duration::from_millis(800),
+    });
+    sim.run(Duration::from_millis(100));
+    assert_eq!(sim.answer(unit).failure(), code);
+    assert_eq!(
+        sim.upstream(0).ran.contains(&"c".to_owned()),
+        code.is_none()
+    );
+    assert_eq!(sim.pool.level(sim.now).running, 0, "the process may end");
+}
+
 #[test]
 fn statement_in_doubt_is_logged_with_its_upstream() {
     let mut sim = Simulation::new(14);
--- a/crates/proxy/tests/pool/simulation.rs
+++ b/crates/proxy/tests/pool/simulation.rs
@@ -234,6 +234,11 @@
         }
     }
 
+    /// Retires the pool; transactions that are open after `transaction_end` are rolled back.
+    pub fn retire(&mut self, transaction_end: Duration) {
+        self.feed(Input::Retire(self.now.after(transaction_end)));
+    }
+
     /// Advances the clock, feeding scheduled inputs and ticks to the pool.
     pub fn run(&mut self, time: Duration) {
         let end = self.now.after(time);
