Keep an evacuation in force for upstreams that are not listed

Cause: the steward named the evacuated upstreams, from the list of registrations. A pool keeps an upstream that is not listed for 3 s; being not listed, it was not named, so its evacuation was taken back.

The vms' views had the evacuation all the while.

Change: the pool is told the evacuated domains, and applies them by the domain of each upstream's last registration. No list of upstreams stands between the operators' word and the pool any more.

The same cause on a related path: a group that the configuration dropped got no input at all, so a transaction that was open there went on in an evacuated domain, and at leaving upstreams; its pool is now told of both.

--- a/crates/proxy/src/fleet/evacuations.rs
+++ b/crates/proxy/src/fleet/evacuations.rs
@@ -93,11 +93,12 @@
         changes
     }
 
-    /// Returns when nothing may reach the upstreams of a domain any more, if it is evacuated.
+    /// Returns the evacuated domains, each with the time from which nothing may reach its upstreams.
     #[must_use]
-    pub fn cutoff(&self, domain: &DomainName) -> Option<Cutoff> {
-        let since = self.domains.get(domain)?;
-        Some(self.cutoff_after(*since))
+    pub fn cutoffs(&self) -> BTreeMap<DomainName, Cutoff> {
+        let domains = self.domains.iter();
+        let cutoffs = domains.map(|(domain, since)| (domain.clone(), self.cutoff_after(*since)));
+        cutoffs.collect()
     }
 
     /// Returns the evacuated domains for a state dump.
--- a/crates/proxy/src/pool/evacuation.rs
+++ b/crates/proxy/src/pool/evacuation.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::names::DomainName;
 
 use crate::clock::BootInstant;
 use crate::fleet::Cutoff;
@@ -13,14 +13,11 @@
 use crate::pool::upstream::Role;
 
 impl Pool {
-    /// Applies which upstreams are evacuated.
-    pub(super) fn evacuate(
-        &mut self,
-        evacuated: &BTreeMap<UpstreamName, Cutoff>,
-        now: BootInstant,
-    ) {
-        for (name, upstream) in &mut self.upstreams {
-            upstream.departure.cutoff = evacuated.get(name).copied();
+    /// Applies which domains are evacuated, also to upstreams that are kept though not listed.
+    pub(super) fn evacuate(&mut self, evacuated: &BTreeMap<DomainName, Cutoff>, now: BootInstant) {
+        for upstream in self.upstreams.values_mut() {
+            let domain = &upstream.registration.domain;
+            upstream.departure.cutoff = evacuated.get(domain).copied();
         }
         self.doubt_evacuated_primary(now);
     }
--- a/crates/proxy/src/pool/input.rs
+++ b/crates/proxy/src/pool/input.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
-use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::names::DomainName;
 use mustardbay_policy::position::Position;
 
 use crate::clock::BootInstant;
@@ -67,8 +67,8 @@
     Upstreams {
         /// Their registrations.
         registrations: Vec<Registration>,
-        /// Upstreams in evacuated domains, with the time from which nothing may reach them.
-        evacuated: BTreeMap<UpstreamName, Cutoff>,
+        /// Evacuated domains, each with the time from which nothing may reach its upstreams.
+        evacuated: BTreeMap<DomainName, Cutoff>,
     },
     /// This vm's share of the group's connections.
     Share {
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -84,6 +84,15 @@
     pub probes: mpsc::UnboundedSender<Probe>,
 }
 
+impl PoolHandle {
+    /// Sends an input to the pool of `group`.
+    pub fn tell(&self, group: &GroupName, input: Input) {
+        if self.inbox.send(input).is_err() {
+            tracing::error!(event = "pool_gone", group = %group);
+        }
+    }
+}
+
 /// State of the task that runs one pool.
 struct Runner<W: Wire> {
     group: GroupName,
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -17,7 +17,6 @@
 use mustardbay_policy::names::AccountName;
 use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::GroupName;
-use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::names::VmName;
 use mustardbay_process::timer::Timer;
 use serde_json::Value;
@@ -26,7 +25,6 @@
 
 use crate::clock::BootInstant;
 use crate::fleet::Assignment;
-use crate::fleet::Cutoff;
 use crate::fleet::EvacuationChange;
 use crate::fleet::Evacuations;
 use crate::group::Event;
@@ -38,11 +36,11 @@
 use crate::platform::LeaseId;
 use crate::platform::Platform;
 use crate::pool::Input;
-use crate::pool::Registration;
 use crate::runner;
 use crate::runner::Contacts;
 use crate::runner::PoolHandle;
 use crate::runner::Probe;
+use crate::snapshot::Snapshot;
 use crate::vm::steward::granting::Granting;
 use crate::vm::steward::predecessor::StopResult;
 use crate::vm_lease::VmLease;
@@ -289,8 +287,7 @@
             let connections = ranking.share(&deps.me, limits.connections);
             let cold_limit = ranking.cold_limit(&deps.me, limits.cold_rate);
             let home = rank == Some(0);
-            let registrations = snapshot.upstreams.get(group).cloned().unwrap_or_default();
-            let evacuated = self.evacuated_among(&registrations);
+            let upstreams = self.upstreams_of(group, snapshot);
             let watched = self.watched_group(group);
             if watched.home != home {
                 tracing::info!(event = "home_changed", group = %group, home, rank, connections);
@@ -301,27 +298,39 @@
                 }
             }
             watched.failover.set_sync_replicas(limits.sync_replicas);
-            let inputs = [
-                Input::Upstreams {
-                    registrations,
-                    evacuated,
-                },
-                Input::Share {
-                    connections,
-                    cold_limit,
-                    home,
-                    status_account: status_account.clone(),
-                },
-            ];
-            for input in inputs {
-                if watched.pool.inbox.send(input).is_err() {
-                    tracing::error!(event = "pool_gone", group = %group);
-                }
-            }
+            watched.pool.tell(group, upstreams);
+            let share = Input::Share {
+                connections,
+                cold_limit,
+                home,
+                status_account: status_account.clone(),
+            };
+            watched.pool.tell(group, share);
         }
+        self.update_dropped_groups(snapshot);
         self.assign_accounts(view, &assignment, steward);
     }
 
+    /// Updates the upstreams of groups that the configuration has dropped.
+    ///
+    /// Transactions that were open then go on there.
+    fn update_dropped_groups(&self, snapshot: &Snapshot) {
+        let configured = &snapshot.configuration.groups;
+        for (group, watched) in &self.groups {
+            if !configured.contains_key(group) {
+                watched.pool.tell(group, self.upstreams_of(group, snapshot));
+            }
+        }
+    }
+
+    /// Returns the list of a group's registered upstreams, with the evacuated domains.
+    fn upstreams_of(&self, group: &GroupName, snapshot: &Snapshot) -> Input {
+        Input::Upstreams {
+            registrations: snapshot.upstreams.get(group).cloned().unwrap_or_default(),
+            evacuated: self.evacuations.cutoffs(),
+        }
+    }
+
     /// Updates which domains are evacuated.
     fn update_evacuations(&mut self, view: &FleetView) {
         let listed = &view.snapshot.evacuated;
@@ -340,15 +349,6 @@
         }
     }
 
-    /// Returns the upstreams in evacuated domains, with the time from which nothing may reach them.
-    fn evacuated_among(&self, registrations: &[Registration]) -> BTreeMap<UpstreamName, Cutoff> {
-        let evacuated = registrations.iter().filter_map(|registration| {
-            let cutoff = self.evacuations.cutoff(&registration.domain)?;
-            Some((registration.name.clone(), cutoff))
-        });
-        evacuated.collect()
-    }
-
     /// Updates which accounts this vm grants, and asks the vms that granted them before to stop.
     fn assign_accounts(
         &mut self,
--- a/crates/proxy/tests/evacuations.rs
+++ b/crates/proxy/tests/evacuations.rs
@@ -19,6 +19,11 @@
     DomainName::from(name)
 }
 
+/// Returns the cutoff of a domain, if it is evacuated.
+fn cutoff(evacuations: &Evacuations, name: &str) -> Option<Cutoff> {
+    evacuations.cutoffs().get(&domain(name)).copied()
+}
+
 fn listed(names: &[&str]) -> BTreeSet<DomainName> {
     names.iter().map(|name| domain(name)).collect()
 }
@@ -29,11 +34,11 @@
     let mut evacuations = Evacuations::new(BOUND);
     evacuations.update(&listed(&[]), at(0));
     let changes = evacuations.update(&listed(&["d1"]), at(900));
-    let cutoff = Cutoff(at(4_600));
-    assert_eq!(changes, [EvacuationChange::Started(domain("d1"), cutoff)]);
+    let expected = Cutoff(at(4_600));
+    assert_eq!(changes, [EvacuationChange::Started(domain("d1"), expected)]);
     evacuations.update(&listed(&["d1"]), at(1_800));
-    assert_eq!(evacuations.cutoff(&domain("d1")), Some(cutoff));
-    assert_eq!(evacuations.cutoff(&domain("d2")), None);
+    assert_eq!(cutoff(&evacuations, "d1"), Some(expected));
+    assert_eq!(cutoff(&evacuations, "d2"), None);
 }
 
 /// A vm that starts, or has no view for long, does not know how long the evacuation has lasted.
@@ -41,8 +46,8 @@
 fn first_view_with_an_evacuation_leaves_no_time() {
     let mut evacuations = Evacuations::new(BOUND);
     evacuations.update(&listed(&["d1"]), at(0));
-    let cutoff = evacuations.cutoff(&domain("d1"));
-    assert!(cutoff.is_some_and(|cutoff| cutoff.is_past(at(0))));
+    let first = cutoff(&evacuations, "d1");
+    assert!(first.is_some_and(|cutoff| cutoff.is_past(at(0))));
 }
 
 #[test]
@@ -59,5 +64,5 @@
         ]
     );
     evacuations.update(&listed(&["d1", "d2"]), at(20_000));
-    assert_eq!(evacuations.cutoff(&domain("d1")), Some(Cutoff(at(13_600))));
+    assert_eq!(cutoff(&evacuations, "d1"), Some(Cutoff(at(13_600))));
 }
--- a/crates/proxy/tests/pool/evacuation.rs
+++ b/crates/proxy/tests/pool/evacuation.rs
@@ -59,6 +59,30 @@
     assert_eq!(sim.upstream(1).sent.len(), before);
 }
 
+/// Guards against work for an evacuated upstream whose registration has expired (EVAC).
+///
+/// The pool keeps an upstream for a while that is not listed: the store may have been away.
+#[test_case(false; "home")]
+#[test_case(true; "stand_in")]
+fn evacuated_replica_receives_nothing_once_its_registration_has_expired(stand_in: bool) {
+    let mut sim = if stand_in {
+        Simulation::stand_in(14)
+    } else {
+        Simulation::new(14)
+    };
+    sim.evacuate(&[1], SERVES);
+    sim.run(BEGUN_ENDS);
+    let before = sim.upstream(1).sent.len();
+    for expired in [Some(1), Some(1), None, None] {
+        sim.set_expired(expired);
+        let reads = (0..12).map(|n| sim.submit(bounded_read(&format!("r{n}"))));
+        let reads: Vec<u64> = reads.collect();
+        sim.run(Duration::from_secs(1));
+        assert!(reads.iter().all(|read| sim.done.contains_key(read)));
+    }
+    assert_eq!(sim.upstream(1).sent.len(), before);
+}
+
 #[test]
 fn evacuated_primary_serves_until_its_time_is_up() {
     let mut sim = Simulation::new(14);
--- a/crates/proxy/tests/pool/simulation.rs
+++ b/crates/proxy/tests/pool/simulation.rs
@@ -88,8 +88,10 @@
     pub opened: usize,
     /// Log events of the pool.
     pub notes: Vec<Note>,
-    /// Upstreams in evacuated domains, with the time from which nothing may reach them.
-    evacuated: BTreeMap<UpstreamName, Cutoff>,
+    /// Evacuated domains, each with the time from which nothing may reach its upstreams.
+    evacuated: BTreeMap<DomainName, Cutoff>,
+    /// Index of the upstream whose registration has expired, if one has.
+    expired: Option<usize>,
     /// Indexes of the cold upstreams.
     cold: Vec<usize>,
     next_unit: u64,
@@ -99,6 +101,11 @@
     UpstreamName::from(format!("u{index}"))
 }
 
+/// Returns the failure domain of an upstream.
+fn domain(index: usize) -> DomainName {
+    DomainName::from(format!("d{index}"))
+}
+
 impl Simulation {
     /// Creates the pool of a group's home, with `share` connections to each upstream.
     ///
@@ -143,6 +150,7 @@
             opened: 0,
             notes: Vec::new(),
             evacuated: BTreeMap::new(),
+            expired: None,
             cold: Vec::new(),
             next_unit: 0,
         };
@@ -170,10 +178,11 @@
 
     /// Registers the upstreams; those in `leaving` are marked as leaving.
     pub fn register(&mut self, leaving: &[usize]) {
-        let registrations = (0..3).map(|index| Registration {
+        let listed = (0..3).filter(|index| Some(*index) != self.expired);
+        let registrations = listed.map(|index| Registration {
             name: name(index),
             address: ([127, 0, 0, 1], 1_000).into(),
-            domain: DomainName::from(format!("d{index}")),
+            domain: domain(index),
             slots: 3,
             draining: leaving.contains(&index),
             role: self.upstreams[&name(index)].role,
@@ -191,11 +200,17 @@
     /// Evacuates the domains of upstreams; nothing may reach them after `serves`.
     pub fn evacuate(&mut self, upstreams: &[usize], serves: Duration) {
         let cutoff = Cutoff(self.now.after(serves));
-        let evacuated = upstreams.iter().map(|index| (name(*index), cutoff));
+        let evacuated = upstreams.iter().map(|index| (domain(*index), cutoff));
         self.evacuated = evacuated.collect();
         self.register(&[]);
     }
 
+    /// Removes the registration of an upstream from the list, or puts it back.
+    pub fn set_expired(&mut self, expired: Option<usize>) {
+        self.expired = expired;
+        self.register(&[]);
+    }
+
     pub fn upstream(&mut self, index: usize) -> &mut FakeUpstream {
         self.upstreams
             .get_mut(&name(index))
@@ -219,6 +234,11 @@
         }
     }
 
+    /// Retires the pool; transactions that are open after `transaction_end` are rolled back.
+    pub fn retire(&mut self, transaction_end: Duration) {
+        self.feed(Input::Retire(self.now.after(transaction_end)));
+    }
+
     /// Submits a unit and returns its number.
     pub fn submit(&mut self, unit: WorkUnit) -> u64 {
         self.next_unit += 1;
@@ -234,11 +254,6 @@
         }
     }
 
-    /// Retires the pool; transactions that are open after `transaction_end` are rolled back.
-    pub fn retire(&mut self, transaction_end: Duration) {
-        self.feed(Input::Retire(self.now.after(transaction_end)));
-    }
-
     /// Advances the clock, feeding scheduled inputs and ticks to the pool.
     pub fn run(&mut self, time: Duration) {
         let end = self.now.after(time);
