Pass over entries that cannot be those of an upstream

Reported by operators of systems like ours: one odd entry of another writer (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it.

What callers would have seen here: with "slots": in one entry, the sum of a group's slots overflows. With overflow checks the pool's task ends and no read of the group is served on any vm; without them the sum wraps and reads are refused. Deep nesting, numbers beyond their type and ports out of range were passed over before.

Cause: an entry counted as valid once its fields had their types.

Pools add slots without overflow as well, since a vm of the landing before still hands such an entry on. In the PostgreSQL programs one key that is not UTF-8 failed the whole list and ended each watch of it; it is passed over.

--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -8,6 +8,10 @@
 use mustardbay_lab::platform::Config;
 use mustardbay_lab::platform::Mode;
 use mustardbay_lab::platform::Platform;
+use mustardbay_platform::Gateway;
+use mustardbay_platform::Platform as _;
+use mustardbay_platform::Revision;
+use mustardbay_platform::WatchEvent;
 use serde_json::Value;
 use serde_json::json;
 
@@ -141,3 +145,26 @@
     assert!(!matches!(end, Some(Ok(_))));
     Ok(())
 }
+
+/// Guards against one odd key of another writer that hides the whole list, or ends the watch (LOST).
+#[tokio::test]
+async fn odd_key_is_passed_over_by_list_and_watch() -> TestResult {
+    let platform = Platform::start(&Config::default()).await?;
+    let odd = json!({ "key": STANDARD.encode(b"vms/\xff"), "value": base64("x") });
+    post(&platform, "/v3/kv/put", &odd).await?;
+    put(&platform, "vms/1", "first").await?;
+    let gateway = Gateway::new([platform.url()])?;
+    let listing = gateway.list("vms/").await?;
+    let keys: Vec<&str> = listing.entries.iter().map(|e| e.key.as_str()).collect();
+    assert_eq!(keys, ["vms/1"]);
+    let from = Revision(listing.revision.0 + 1);
+    let mut events = gateway.watch("vms/", from).await?;
+    post(&platform, "/v3/kv/put", &odd).await?;
+    put(&platform, "vms/2", "second").await?;
+    let event = tokio::time::timeout(TIMEOUT, events.recv()).await?;
+    assert!(
+        matches!(&event, Some(WatchEvent::Put(entry)) if entry.key == "vms/2"),
+        "{event:?}"
+    );
+    Ok(())
+}
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -138,6 +138,17 @@
     }
 }
 
+/// Returns an entry of a list, or logs why it cannot be read; the others hold.
+fn readable(kv: json::KeyValue) -> Option<Entry> {
+    match Entry::try_from(kv) {
+        Ok(entry) => Some(entry),
+        Err(e) => {
+            tracing::warn!(event = "entry_rejected", error = %e);
+            None
+        }
+    }
+}
+
 fn call_error(e: &reqwest::Error) -> PlatformError {
     if e.is_connect() {
         PlatformError::Unreachable(e.to_string())
@@ -164,10 +175,9 @@
         let body = json::RangeRequest::prefix(prefix);
         let response: json::RangeResponse =
             self.call(CallKind::Range, "/v3/kv/range", &body).await?;
-        let entries = response.kvs.into_iter().map(Entry::try_from);
         Ok(Listing {
             revision: Revision(response.header.revision.0),
-            entries: entries.collect::<Result<_, _>>()?,
+            entries: response.kvs.into_iter().filter_map(readable).collect(),
         })
     }
 
--- a/crates/platform/src/gateway/stream.rs
+++ b/crates/platform/src/gateway/stream.rs
@@ -56,8 +56,12 @@
         return false;
     }
     for event in response.result.events {
-        let Ok(event) = WatchEvent::try_from(event) else {
-            return false;
+        let event = match WatchEvent::try_from(event) {
+            Ok(event) => event,
+            Err(e) => {
+                tracing::warn!(event = "watch_event_rejected", error = %e);
+                continue;
+            }
         };
         if events.send(event).await.is_err() {
             return false;
--- a/crates/proxy/src/pool/placement.rs
+++ b/crates/proxy/src/pool/placement.rs
@@ -282,5 +282,5 @@
 
 /// Returns how many statements an upstream is sent at a time.
 pub(super) fn max_in_flight(upstream: Option<&Upstream>) -> u32 {
-    upstream.map_or(0, |u| u.registration.slots + EXTRA_STATEMENTS)
+    upstream.map_or(0, |u| u.registration.slots.saturating_add(EXTRA_STATEMENTS))
 }
--- a/crates/proxy/src/pool/submit.rs
+++ b/crates/proxy/src/pool/submit.rs
@@ -209,7 +209,8 @@
         };
         for (name, upstream) in &self.upstreams {
             if self.serves(name, upstream, unit, need, now) {
-                capacity.slots += upstream.registration.slots;
+                let slots = upstream.registration.slots;
+                capacity.slots = capacity.slots.saturating_add(slots);
                 capacity.only_primary &= self.primary.upstream() == Some(name);
             }
         }
--- a/crates/proxy/tests/pool/load.rs
+++ b/crates/proxy/tests/pool/load.rs
@@ -70,6 +70,20 @@
 /// Burst: writes at twice the capacity of three slots with 20 ms a statement, for 3 s.
 ///
 /// In order of arrival nearly all answers would be late. The pool serves fewer, and those on time.
+/// Guards against an entry whose slots overflow a sum, passed on by a vm of an older build.
+#[test]
+fn upstreams_with_the_largest_number_of_slots_serve() {
+    let mut sim = Simulation::new(14);
+    sim.slots = u32::MAX;
+    sim.register(&[]);
+    let reads = (0..6).map(|n| sim.submit(bounded_read(&format!("r{n}"))));
+    let reads: Vec<u64> = reads.collect();
+    sim.run(Duration::from_millis(500));
+    for read in reads {
+        assert_eq!(sim.answer(read).failure(), None);
+    }
+}
+
 #[test]
 fn burst_is_served_on_time_or_refused() {
     let mut sim = Simulation::new(14);
--- a/crates/proxy/tests/pool/simulation.rs
+++ b/crates/proxy/tests/pool/simulation.rs
@@ -35,6 +35,8 @@
 pub const SERVICE: Duration = Duration::from_millis(20);
 /// Time for which opening a connection holds a slot.
 pub const OPENING: Duration = Duration::from_millis(12);
+/// Number of statements that an upstream runs at a time.
+const SLOTS: u32 = 3;
 /// Round trip to an upstream.
 const ROUND_TRIP: Duration = Duration::from_millis(1);
 /// Time between two ticks of the pool.
@@ -90,6 +92,8 @@
     pub notes: Vec<Note>,
     /// Evacuated domains, each with the time from which nothing may reach its upstreams.
     evacuated: BTreeMap<DomainName, Cutoff>,
+    /// Number of statements that each upstream says it runs at a time.
+    pub slots: u32,
     /// Index of the upstream whose registration has expired, if one has.
     expired: Option<usize>,
     /// Indexes of the cold upstreams.
@@ -150,6 +154,7 @@
             opened: 0,
             notes: Vec::new(),
             evacuated: BTreeMap::new(),
+            slots: SLOTS,
             expired: None,
             cold: Vec::new(),
             next_unit: 0,
@@ -183,7 +188,7 @@
             name: name(index),
             address: ([127, 0, 0, 1], 1_000).into(),
             domain: domain(index),
-            slots: 3,
+            slots: self.slots,
             draining: leaving.contains(&index),
             role: self.upstreams[&name(index)].role,
             incarnation: 1,
