Hold an open transaction to its key, whatever became of its route

What operators saw: one version took a tenant's key and its route away.

Cause: look_up answers RouteUnknown before it looks at the key, and an open transaction goes on after RouteUnknown, since a changed route counts from the next transaction on.

Change: an open transaction asks check_key, whether the key still belongs to the account that it runs for, and not for its route. That covers a key that now belongs to another account too.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -16,6 +16,7 @@
 
 pub use admission::AdmittedOperation;
 pub use admission::Denial;
+pub use admission::check_key;
 pub use admission::fresh_view;
 pub use admission::look_up;
 pub use listener::serve;
--- a/crates/proxy/src/entry/admission.rs
+++ b/crates/proxy/src/entry/admission.rs
@@ -139,6 +139,28 @@
     Ok(view)
 }
 
+/// Checks that the open transaction of an admitted operation may go on.
+///
+/// A changed or removed route counts from the next transaction on, a withdrawn key at once.
+///
+/// # Errors
+///
+/// Fails if the key no longer belongs to the account that the transaction runs for.
+pub fn check_key(
+    view: &FleetView,
+    admitted: &AdmittedOperation,
+    key: Option<&Key>,
+) -> Result<(), Denial> {
+    let keys = &view.snapshot.configuration.keys;
+    let holder = key.and_then(|key| keys.get(key));
+    let is_public = admitted.route.open && admitted.account.as_str() == PUBLIC_ACCOUNT;
+    if is_public || holder == Some(&admitted.account) {
+        Ok(())
+    } else {
+        Err(Denial::KeyRefused)
+    }
+}
+
 /// Looks up the route and account of an operation.
 ///
 /// # Errors
--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -17,6 +17,7 @@
 use crate::entry::Placement;
 use crate::entry::fresh_view;
 use crate::entry::look_up;
+use crate::latest_view::FleetView;
 use crate::pool::Cause;
 use crate::pool::Outcome;
 use crate::pool::Refusal;
@@ -240,11 +241,15 @@
     }
 
     fn look_up(&self) -> Result<AdmittedOperation, Denial> {
-        let view_ttl = self.entry.timing.view_ttl;
-        let view = fresh_view(self.entry.latest_view.view(), view_ttl, BootInstant::now())?;
+        let view = self.fresh_view()?;
         look_up(&view, &self.route, self.key.as_ref())
     }
 
+    fn fresh_view(&self) -> Result<Arc<FleetView>, Denial> {
+        let view_ttl = self.entry.timing.view_ttl;
+        fresh_view(self.entry.latest_view.view(), view_ttl, BootInstant::now())
+    }
+
     async fn run_single(&mut self, statement: Statement) -> Vec<ToCaller> {
         let admitted = match self.admit().await {
             Ok(admitted) => admitted,
--- a/crates/proxy/src/session/client/transactions.rs
+++ b/crates/proxy/src/session/client/transactions.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::BootInstant;
 use crate::entry::Denial;
+use crate::entry::check_key;
 use crate::pool::Outcome;
 use crate::session::answer;
 use crate::session::client::Client;
@@ -37,9 +38,7 @@
 
     /// Runs a statement of the open transaction.
     pub(super) async fn run_in_transaction(&mut self, statement: Statement) -> Vec<ToCaller> {
-        if let Err(denial) = self.look_up()
-            && denial != Denial::RouteUnknown
-        {
+        if let Err(denial) = self.check_transaction() {
             self.abort_transaction(denial.name());
             return self.deny(&statement.id, &denial, TransactionState::Failed);
         }
@@ -71,6 +70,15 @@
         self.finish_statement(transaction, verb, outcome)
     }
 
+    /// Checks that the open transaction may go on.
+    fn check_transaction(&self) -> Result<(), Denial> {
+        let view = self.fresh_view()?;
+        let admitted = self.transaction.as_ref().map(|t| &t.admitted);
+        admitted.map_or(Ok(()), |admitted| {
+            check_key(&view, admitted, self.key.as_ref())
+        })
+    }
+
     /// Updates the transaction after the answer to one of its statements.
     fn finish_statement(
         &mut self,
--- a/crates/proxy/tests/latest_view.rs
+++ b/crates/proxy/tests/latest_view.rs
@@ -13,6 +13,7 @@
 use mustardbay_proxy::configuration::Route;
 use mustardbay_proxy::configuration::Version;
 use mustardbay_proxy::entry::Denial;
+use mustardbay_proxy::entry::check_key;
 use mustardbay_proxy::entry::fresh_view;
 use mustardbay_proxy::entry::look_up;
 use mustardbay_proxy::latest_view::Adoption;
@@ -143,6 +144,30 @@
     }
 }
 
+/// Guards against an open transaction that goes on though its key was withdrawn (CONFIG, UNASKED).
+///
+/// Its route may be gone; an open route asks for no key.
+#[test_case("a", false, Some("k"), true; "key_of_the_account")]
+#[test_case("a", false, Some("x"), false; "withdrawn_key")]
+#[test_case("b", false, Some("k"), false; "key_of_another_account_by_now")]
+#[test_case("a", true, Some("x"), false; "withdrawn_key_on_an_open_route")]
+#[test_case("public", true, None, true; "no_key_on_an_open_route")]
+#[test_case("public", true, Some("k"), true; "key_that_came_later_on_an_open_route")]
+fn check_key_holds_an_open_transaction_to_its_key(
+    account: &str,
+    open: bool,
+    key: Option<&str>,
+    goes_on: bool,
+) {
+    let view = view(7, 0);
+    let found = look_up(&view, &RouteName::from("r"), Some(&Key::from("k")));
+    let mut admitted = found.expect("route and key are there");
+    admitted.account = AccountName::from(account);
+    admitted.route.open = open;
+    let checked = check_key(&view, &admitted, key.map(Key::from).as_ref());
+    assert_eq!(checked == Ok(()), goes_on, "{checked:?}");
+}
+
 #[test]
 fn key_is_never_shown() {
     let shown = format!("{:?}", view(7, 0));
