Leave a begun transaction its half of the grace

Cause: can_close asked whether the transaction holds a connection of an upstream. One that has only begun holds none yet.

Change: it asks for the state that the client was told. The session is idle exactly when that is not T.

--- a/crates/proxy/src/session/client.rs
+++ b/crates/proxy/src/session/client.rs
@@ -96,11 +96,9 @@
         })
     }
 
-    /// Tells whether the session can be closed without aborting a running transaction.
+    /// Tells whether the session can be closed without aborting an open transaction.
     pub(super) fn can_close(&self) -> bool {
-        self.transaction
-            .as_ref()
-            .is_none_or(|t| !matches!(t.progress, Progress::Running(_)))
+        self.state() != TransactionState::Open
     }
 
     /// Tells whether the session is to be closed, so that its client goes to another vm.
