Keep nothing of upstream connections that have ended

Cause: the runner keeps a channel for each connection until Output::Close, and the pool emitted that for connections that it closed itself, not for those that were lost or could not be opened.

Change: every removal of a connection goes through forget_connection, which emits it.

Test, without the change: pool::faults::nothing_is_kept_of_connections_that_have_ended failed in its cases refused and lost, silent passed. With it all three pass. The growth of a process was not measured again.

--- a/crates/proxy/src/pool/connection_loss.rs
+++ b/crates/proxy/src/pool/connection_loss.rs
@@ -24,7 +24,7 @@
 impl Pool {
     /// Handles a broken connection and its unit.
     pub(super) fn lost(&mut self, id: ConnectionId, now: BootInstant) {
-        let Some(connection) = self.connections.remove(&id) else {
+        let Some(connection) = self.forget_connection(id) else {
             return;
         };
         let name = connection.upstream.clone();
--- a/crates/proxy/src/pool/output.rs
+++ b/crates/proxy/src/pool/output.rs
@@ -32,7 +32,9 @@
     },
     /// Send a query; its answer comes back as an [`Input`](crate::pool::Input).
     Send(ConnectionId, Query),
-    /// Close a connection; the only input that counts for it then is the upstream's confirmation.
+    /// Close a connection, or free what is kept for one that has ended.
+    ///
+    /// The only input that counts for it then is the upstream's confirmation.
     Close(ConnectionId),
     /// Return the outcome of a statement to its session.
     Finish(UnitId, Outcome),
--- a/crates/proxy/src/pool/reply.rs
+++ b/crates/proxy/src/pool/reply.rs
@@ -43,7 +43,7 @@
 
     /// Records that a connection could not be opened, and retries its unit.
     pub(super) fn open_failed(&mut self, id: ConnectionId, failure: OpenFailure, now: BootInstant) {
-        let Some(connection) = self.connections.remove(&id) else {
+        let Some(connection) = self.forget_connection(id) else {
             return;
         };
         if let Some(upstream) = self.upstreams.get_mut(&connection.upstream) {
--- a/crates/proxy/src/pool/steps.rs
+++ b/crates/proxy/src/pool/steps.rs
@@ -92,13 +92,19 @@
 
     /// Closes a connection, which counts at its upstream until the upstream confirms the end.
     pub(super) fn close(&mut self, id: ConnectionId, now: BootInstant) {
-        if let Some(connection) = self.connections.remove(&id) {
-            if let Some(upstream) = self.upstreams.get_mut(&connection.upstream) {
-                upstream.note_closing(id, now);
-            }
-            self.outputs.push(Output::Close(id));
+        if let Some(connection) = self.forget_connection(id)
+            && let Some(upstream) = self.upstreams.get_mut(&connection.upstream)
+        {
+            upstream.note_closing(id, now);
         }
     }
+
+    /// Removes a connection, open or ended, and has its owner free what it keeps for it.
+    pub(super) fn forget_connection(&mut self, id: ConnectionId) -> Option<Connection> {
+        let connection = self.connections.remove(&id)?;
+        self.outputs.push(Output::Close(id));
+        Some(connection)
+    }
 }
 
 /// Returns the queries that run a unit.
--- a/crates/proxy/tests/pool/faults.rs
+++ b/crates/proxy/tests/pool/faults.rs
@@ -189,6 +189,26 @@
     );
 }
 
+/// Guards against memory that grows with each connection that was lost or could not be opened.
+#[test_case(Health::Down; "refused")]
+#[test_case(Health::Silent; "silent")]
+#[test_case(Health::LosesAnswers; "lost")]
+fn nothing_is_kept_of_connections_that_have_ended(health: Health) {
+    let mut sim = Simulation::new(14);
+    let opened = sim.opened;
+    for round in 0..5 {
+        sim.set_health(0, health);
+        for n in 0..6 {
+            sim.submit(single(Verb::Write, &format!("w{round}-{n}")));
+        }
+        sim.run(Duration::from_millis(1_500));
+        sim.set_health(0, Health::Up);
+        sim.run(Duration::from_secs(2));
+    }
+    assert!(sim.opened > opened + 5, "connections were replaced");
+    assert_eq!(sim.held.len(), sim.pool.level(sim.now).connections);
+}
+
 #[test]
 fn retired_pool_refuses_new_units() {
     let mut sim = Simulation::new(14);
--- a/crates/proxy/tests/pool/simulation.rs
+++ b/crates/proxy/tests/pool/simulation.rs
@@ -1,6 +1,7 @@
 //! Simulation of a pool with three upstreams in virtual time.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
@@ -79,6 +80,8 @@
     pub upstreams: BTreeMap<UpstreamName, FakeUpstream>,
     /// Open connections with their upstreams.
     open: BTreeMap<ConnectionId, UpstreamName>,
+    /// Connections that the pool has opened and not closed, as their owner keeps them.
+    pub held: BTreeSet<ConnectionId>,
     states: BTreeMap<ConnectionId, TransactionState>,
     /// Scheduled inputs, each with its time and sequence number.
     due: Vec<(BootInstant, u64, Input)>,
@@ -146,6 +149,7 @@
             now: BootInstant::from_boot(Duration::from_secs(1_000)),
             upstreams: upstreams.collect(),
             open: BTreeMap::new(),
+            held: BTreeSet::new(),
             states: BTreeMap::new(),
             due: Vec::new(),
             sequence: 0,
@@ -315,11 +319,16 @@
                 connection,
                 upstream,
                 ..
-            } => self.open(connection, &upstream),
+            } => {
+                self.held.insert(connection);
+                self.open(connection, &upstream);
+            }
             Output::Send(connection, query) => self.send(connection, &query),
             Output::Close(connection) => {
-                self.open.remove(&connection);
-                self.after(ROUND_TRIP, Input::Closed(connection));
+                self.held.remove(&connection);
+                if self.open.remove(&connection).is_some() {
+                    self.after(ROUND_TRIP, Input::Closed(connection));
+                }
             }
             Output::Finish(unit_id, outcome) => {
                 self.done.insert(unit_id.number, (self.now, outcome));
