Release a duty whose claim got no answer when the home moves

What callers would see: the store carries out a vm's claim of a promotion duty and the answer is lost; then another vm becomes the group's home. The first keeps the duty as long as it lives, the new home cannot promote, and writes are refused after the next loss of the primary.

Cause: a vm that stops being the home released the token of its last answered claim only, once. A claim without an answer, one answered after the home had moved, or a failed release left the duty behind.

Change: a failover knows whether a claim is open; if one is, or the release failed, the vm asks the store each second what it holds and releases that, until no late call can bring it back (8 s). Becoming the home again ends it. The store's format is as before.

--- a/crates/proxy/src/group/action.rs
+++ b/crates/proxy/src/group/action.rs
@@ -41,8 +41,10 @@
     NoPeerAnswers,
     /// This vm holds the promotion duty, with this token.
     Claimed(FencingToken),
-    /// Another vm holds the duty, or the store gave no answer.
+    /// Another vm holds the duty, or the store refused the claim.
     NotClaimed,
+    /// The store gave no usable answer to a claim, which may have been or may still be carried out.
+    ClaimUnanswered,
     /// The platform accepted the promotion.
     Accepted,
     /// The platform refused: the token is too low, or the upstream does not run.
--- a/crates/proxy/src/group/failover.rs
+++ b/crates/proxy/src/group/failover.rs
@@ -64,6 +64,8 @@
     held_token: Option<FencingToken>,
     /// Whether a claim in advance is in flight.
     claiming: bool,
+    /// Whether an earlier claim got no answer, and none has succeeded since.
+    unanswered_claim: bool,
     paused_until: BootInstant,
     /// Time from which a claim in advance may be tried again.
     claim_after: BootInstant,
@@ -83,6 +85,7 @@
             token: None,
             held_token: None,
             claiming: false,
+            unanswered_claim: false,
             paused_until: BootInstant::default(),
             claim_after: BootInstant::default(),
             no_primary_since: None,
@@ -140,13 +143,17 @@
 
     /// Handles the result of an action; returns the next action, if any.
     pub fn handle(&mut self, event: Event, now: BootInstant) -> Option<Action> {
+        self.unanswered_claim |= event == Event::ClaimUnanswered;
         match (self.stage.clone(), event) {
             (Stage::AskingPeers { since }, Event::NoPeerReaches) => self.start_choice_since(since),
             (Stage::Monitoring | Stage::AskingPeers { .. }, Event::Claimed(token)) => {
                 self.store_token(token);
                 None
             }
-            (Stage::Monitoring | Stage::AskingPeers { .. }, Event::NotClaimed) => {
+            (
+                Stage::Monitoring | Stage::AskingPeers { .. },
+                Event::NotClaimed | Event::ClaimUnanswered,
+            ) => {
                 self.claiming = false;
                 self.claim_after = now.after(RETRY_DELAY);
                 None
@@ -168,7 +175,7 @@
                 None
             }
             (Stage::AskingPeers { .. }, Event::PeerReaches | Event::NoPeerAnswers)
-            | (Stage::Claiming, Event::NotClaimed)
+            | (Stage::Claiming, Event::NotClaimed | Event::ClaimUnanswered)
             | (Stage::Promoting { .. }, Event::Refused) => {
                 self.back_off(now);
                 None
@@ -189,8 +196,15 @@
         self.held_token
     }
 
+    /// Tells whether the duty may be held under a token that is not known.
+    #[must_use]
+    pub fn has_open_claim(&self) -> bool {
+        self.claiming || self.unanswered_claim || self.stage == Stage::Claiming
+    }
+
     fn store_token(&mut self, token: FencingToken) {
         self.claiming = false;
+        self.unanswered_claim = false;
         self.token = Some(token);
         self.held_token = Some(token);
     }
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -103,6 +103,13 @@
         lease: LeaseId,
     ) -> Result<Claim, PlatformError>;
 
+    /// Returns the token under which a vm holds a group's promotion duty, if it does.
+    async fn held_duty(
+        &self,
+        group: &GroupName,
+        holder: &VmName,
+    ) -> Result<Option<FencingToken>, PlatformError>;
+
     /// Releases the duty that was claimed under a token; does nothing if it has been claimed again since.
     async fn release(&self, group: &GroupName, token: FencingToken) -> Result<(), PlatformError>;
 
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -22,6 +22,7 @@
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::oneshot;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::clock::BootInstant;
 use crate::fleet::Assignment;
@@ -72,6 +73,8 @@
     home: bool,
     /// Lease under which the promotion duty was last claimed.
     lease: Option<LeaseId>,
+    /// Release of the duty after this vm was the home.
+    given_up: Option<AbortOnDropHandle<()>>,
 }
 
 /// Applies this vm's assignment and monitors the primaries of the groups it is home of.
@@ -293,9 +296,8 @@
                 tracing::info!(event = "home_changed", group = %group, home, rank, connections);
                 watched.home = home;
                 let ended = std::mem::take(&mut watched.failover);
-                if let Some(token) = ended.held_token() {
-                    promotion::release(&deps, group.clone(), token);
-                }
+                let given_up = promotion::give_up_duty(&deps, group.clone(), &ended);
+                watched.given_up = (!home).then_some(given_up);
             }
             watched.failover.set_sync_replicas(limits.sync_replicas);
             watched.pool.tell(group, upstreams);
@@ -399,6 +401,7 @@
                 failover: Failover::new(),
                 home: false,
                 lease: None,
+                given_up: None,
             }
         })
     }
--- a/crates/proxy/src/vm/steward/promotion.rs
+++ b/crates/proxy/src/vm/steward/promotion.rs
@@ -6,15 +6,19 @@
 use kameo::actor::ActorRef;
 use mustardbay_policy::names::GroupName;
 use mustardbay_policy::names::UpstreamName;
+use tokio_util::task::AbortOnDropHandle;
 
+use crate::clock::BootInstant;
 use crate::fleet::Member;
 use crate::group::Action;
 use crate::group::Event;
+use crate::group::Failover;
 use crate::group::FencingToken;
 use crate::link::AskBody;
 use crate::link::ReplyBody;
 use crate::link::frame::Reach;
 use crate::platform::Claim;
+use crate::platform::PlatformError;
 use crate::platform::Promotion;
 use crate::runner::Contacts;
 use crate::runner::Probe;
@@ -24,6 +28,10 @@
 
 /// Maximum wait for another vm's reply about an upstream.
 const PEER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time between two looks at the store for a duty that may still be held.
+const DUTY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which a call without an answer is not carried out any more.
+const LATE_CALL_TIME: Duration = Duration::from_secs(8);
 /// Maximum rank of the vms that are asked about an upstream: two in each domain of a small fleet.
 const MAX_PEER_RANK: usize = 8;
 
@@ -90,18 +98,57 @@
     }
 }
 
-/// Releases a promotion duty in the background, so that the new home need not wait for the lease to end.
-pub(super) fn release(deps: &Arc<Deps>, group: GroupName, token: FencingToken) {
+/// Releases the duty of a vm that is no longer the group's home, so that the new home need not wait.
+///
+/// Dropping the handle ends that, as a vm must that becomes the home once more.
+pub(super) fn give_up_duty(
+    deps: &Arc<Deps>,
+    group: GroupName,
+    ended: &Failover,
+) -> AbortOnDropHandle<()> {
     let deps = Arc::clone(deps);
-    tokio::spawn(async move {
-        let released = deps.platform.release(&group, token).await;
-        match released {
-            Ok(()) => tracing::info!(event = "duty_released", group = %group, token = %token),
-            Err(e) => {
-                tracing::warn!(event = "duty_not_released", group = %group, token = %token, error = %e);
+    let token = ended.held_token();
+    let open_claim = ended.has_open_claim();
+    AbortOnDropHandle::new(tokio::spawn(async move {
+        let released = match token {
+            Some(token) => release(&deps, &group, token).await,
+            None => true,
+        };
+        if open_claim || !released {
+            release_until_gone(&deps, &group).await;
+        }
+    }))
+}
+
+/// Releases the duty under whatever token, until no call without an answer can bring it back.
+async fn release_until_gone(deps: &Deps, group: &GroupName) {
+    let began = BootInstant::now();
+    loop {
+        tokio::time::sleep(DUTY_CHECK_INTERVAL).await;
+        let held = deps.platform.held_duty(group, &deps.me).await;
+        match held {
+            Ok(Some(token)) => {
+                release(deps, group, token).await;
             }
+            Ok(None) if BootInstant::now().since(began) >= LATE_CALL_TIME => return,
+            Ok(None) => {}
+            Err(e) => tracing::warn!(event = "duty_not_read", group = %group, error = %e),
         }
-    });
+    }
+}
+
+/// Releases the duty that is held under a token; returns whether the store carried that out.
+async fn release(deps: &Deps, group: &GroupName, token: FencingToken) -> bool {
+    match deps.platform.release(group, token).await {
+        Ok(()) => {
+            tracing::info!(event = "duty_released", group = %group, token = %token);
+            true
+        }
+        Err(e) => {
+            tracing::warn!(event = "duty_not_released", group = %group, token = %token, error = %e);
+            false
+        }
+    }
 }
 
 /// Runs an action in the background and sends its result to the steward.
@@ -183,7 +230,12 @@
         }
         Err(e) => {
             tracing::warn!(event = "claim_failed", group = %group, error = %e);
-            Event::NotClaimed
+            match e {
+                PlatformError::Refused(_) | PlatformError::LeaseEnded | PlatformError::Restored => {
+                    Event::NotClaimed
+                }
+                PlatformError::NoAnswer(_) | PlatformError::Unusable(_) => Event::ClaimUnanswered,
+            }
         }
     }
 }
--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -105,6 +105,25 @@
     assert!(!failover.is_in_progress(), "another vm holds the duty");
 }
 
+/// Guards against a duty that is held under a token that its holder does not know.
+#[test]
+fn claim_without_an_answer_stays_open_until_another_succeeds() {
+    let primary = name("u0");
+    let contacts = [contact("u0", 100), contact("u1", 90)];
+    let mut failover = Failover::new();
+    assert!(!failover.has_open_claim());
+    let claim = failover.tick(Some(&primary), &contacts, at(0));
+    assert_eq!(claim, Some(Action::Claim));
+    assert!(failover.has_open_claim(), "it is in flight");
+    failover.handle(Event::ClaimUnanswered, at(900));
+    assert!(failover.has_open_claim(), "it may have been carried out");
+    assert_eq!(failover.tick(Some(&primary), &contacts, at(1_000)), None);
+    let again = failover.tick(Some(&primary), &contacts, at(1_500));
+    assert_eq!(again, Some(Action::Claim));
+    failover.handle(Event::Claimed(FencingToken(8)), at(1_600));
+    assert!(!failover.has_open_claim());
+}
+
 #[test]
 fn dead_primary_is_replaced_by_the_most_advanced_replica() {
     let contacts = [failing("u0"), contact("u1", 90), contact("u2", 95)];
