Pause the other replicas before a planned promotion of a synchronous group

What callers would see: with syncReplicas 1 a working primary is replaced. From the choice until the promotion takes effect, some hundred milliseconds, a commit may be acknowledged that only another replica has received, and it is rolled back (LOST).

Cause: the choice looks at what replicas have received at one moment, and the primary goes on.

Change: the home pauses the other replicas under the next term, and promotes once their answers say that they are paused and have nothing that the chosen one lacks. From then on no commit is acknowledged without the chosen one, so it has all when it leads. After half a second without success they receive again, and a home that finds replicas paused while nobody is promoted lets them receive. Groups with syncReplicas 0 are promoted as before. Nothing that vms send each other changes.

Tests, without the change: planned_promotion_waits_until_the_chosen_replica_has_what_the_paused_one_has and planned_promotion_is_put_off_if_the_other_replica_cannot_be_paused failed. Played against fakes only.

--- a/crates/proxy/src/group/action.rs
+++ b/crates/proxy/src/group/action.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Term;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -26,6 +27,10 @@
     Claim,
     /// Ask every upstream for its status.
     AskStatus,
+    /// Stop replicas from receiving the log of terms below a new one, and ask all for their status.
+    Pause(Term, Vec<UpstreamName>),
+    /// Let paused replicas receive again.
+    Continue(Vec<UpstreamName>),
     /// Promote an upstream under a fencing token.
     Promote(UpstreamName, FencingToken),
 }
--- a/crates/proxy/src/group/failover.rs
+++ b/crates/proxy/src/group/failover.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mustardbay_policy::names::UpstreamName;
+use mustardbay_policy::position::Term;
 
 use crate::clock::BootInstant;
 use crate::group::action::Action;
@@ -10,6 +11,9 @@
 use crate::group::action::FencingToken;
 use crate::group::required::Required;
 use crate::group::required::Unmet;
+use crate::group::required::is_ahead_of_paused;
+use crate::group::required::newest_term;
+use crate::group::required::others;
 use crate::pool::Contact;
 
 /// Time for which a primary must have been failing before other vms are asked: longer than a statement.
@@ -40,6 +44,14 @@
         /// When statuses were last requested.
         asked: BootInstant,
     },
+    /// The other replicas are being paused, so that no commit is acknowledged without the chosen one.
+    Pausing {
+        chosen: UpstreamName,
+        term: Term,
+        since: BootInstant,
+        /// When this was last requested.
+        asked: BootInstant,
+    },
     /// The promotion call is in flight.
     Promoting { chosen: UpstreamName },
     /// The chosen upstream is expected to become primary.
@@ -117,6 +129,14 @@
             Stage::CollectingStatuses { since, asked } if now.since(asked) >= STATUS_WAIT => {
                 self.choose(primary, contacts, since, now)
             }
+            Stage::Pausing {
+                chosen,
+                term,
+                since,
+                asked,
+            } if now.since(asked) >= STATUS_WAIT => {
+                self.check_paused(chosen, term, since, primary, contacts, now)
+            }
             Stage::Confirming { since, .. } if now.since(since) >= CONFIRM_TIMEOUT => {
                 self.stage = Stage::Claiming;
                 Some(Action::Claim)
@@ -136,6 +156,7 @@
             Stage::AskingPeers { .. }
             | Stage::Claiming
             | Stage::CollectingStatuses { .. }
+            | Stage::Pausing { .. }
             | Stage::Promoting { .. }
             | Stage::Confirming { .. } => None,
         }
@@ -292,6 +313,13 @@
         if contact.is_departing() && has_candidate(primary, contacts) {
             return Some(self.start_choice(now));
         }
+        let held = contacts.iter().filter(|contact| contact.is_held());
+        let held: Vec<UpstreamName> = held.map(|c| c.registration.name.clone()).collect();
+        if !held.is_empty() && !suspect {
+            // Nobody is promoted: a home before this one left them paused.
+            self.paused_until = now.after(RETRY_DELAY);
+            return Some(Action::Continue(held));
+        }
         if suspect {
             self.stage = Stage::AskingPeers { since: now };
             return Some(Action::AskPeers(primary.clone()));
@@ -311,6 +339,49 @@
             Ok(chosen) => chosen,
             Err(unmet) => return self.put_off(unmet, since, now),
         };
+        let others = others(&chosen, primary, contacts);
+        if self.required.keeps_receiving() && !others.is_empty() {
+            let term = newest_term(contacts).next();
+            self.stage = Stage::Pausing {
+                chosen,
+                term,
+                since: now,
+                asked: now,
+            };
+            return Some(Action::Pause(term, others));
+        }
+        self.promote(chosen)
+    }
+
+    /// Promotes the chosen upstream once the others are paused and it has what they have.
+    fn check_paused(
+        &mut self,
+        chosen: UpstreamName,
+        term: Term,
+        since: BootInstant,
+        primary: Option<&UpstreamName>,
+        contacts: &[Contact],
+        now: BootInstant,
+    ) -> Option<Action> {
+        if is_ahead_of_paused(&chosen, term, primary, contacts, now.since(since)) {
+            return self.promote(chosen);
+        }
+        let others = others(&chosen, primary, contacts);
+        if now.since(since) >= MAX_COLLECT_TIME {
+            self.unmet = Some(Unmet::NotPaused);
+            self.back_off(now);
+            return Some(Action::Continue(others));
+        }
+        self.stage = Stage::Pausing {
+            chosen,
+            term,
+            since,
+            asked: now,
+        };
+        Some(Action::Pause(term, others))
+    }
+
+    fn promote(&mut self, chosen: UpstreamName) -> Option<Action> {
         // A token is used once: an earlier unanswered call with the same token could take effect later.
         let Some(token) = self.token.take() else {
             self.stage = Stage::Claiming;
--- a/crates/proxy/src/group/required.rs
+++ b/crates/proxy/src/group/required.rs
@@ -4,6 +4,7 @@
 
 use mustardbay_policy::names::UpstreamName;
 use mustardbay_policy::position::Position;
+use mustardbay_policy::position::Term;
 
 use crate::pool::Contact;
 
@@ -19,6 +20,8 @@
     Behind(Position),
     /// So many replicas have not answered that only they may hold an acknowledged commit.
     Unanswered(usize),
+    /// A replica beside the chosen one may still receive what that one lacks.
+    NotPaused,
 }
 
 /// What the new primary must have received.
@@ -55,6 +58,11 @@
         }
     }
 
+    /// Tells whether commits go on that only replicas beside the chosen one might receive.
+    pub(super) fn keeps_receiving(&self) -> bool {
+        self.sync_replicas > 0 && self.floor.is_some()
+    }
+
     /// Checks that a commit that `sync_replicas` replicas have received is at one that answered.
     fn check_answers(
         &self,
@@ -120,3 +128,49 @@
     let silent = replicas.filter(|contact| contact.status.is_none_or(|(_, age)| age > asked));
     silent.count()
 }
+
+/// Returns the replicas besides the chosen one.
+pub(super) fn others(
+    chosen: &UpstreamName,
+    primary: Option<&UpstreamName>,
+    contacts: &[Contact],
+) -> Vec<UpstreamName> {
+    let names = contacts.iter().map(|contact| &contact.registration.name);
+    let others = names.filter(|name| *name != chosen && Some(*name) != primary);
+    others.cloned().collect()
+}
+
+/// Returns the newest term that an upstream has reported.
+pub(super) fn newest_term(contacts: &[Contact]) -> Term {
+    let statuses = contacts.iter().filter_map(|contact| contact.status);
+    statuses
+        .map(|(status, _)| status.term)
+        .max()
+        .unwrap_or_default()
+}
+
+/// Tells whether the other replicas are paused under `term` and have nothing that `chosen` lacks.
+///
+/// Only statuses of the last `asked` count.
+pub(super) fn is_ahead_of_paused(
+    chosen: &UpstreamName,
+    term: Term,
+    primary: Option<&UpstreamName>,
+    contacts: &[Contact],
+    asked: Duration,
+) -> bool {
+    let replicas = contacts
+        .iter()
+        .filter(|contact| primary != Some(&contact.registration.name));
+    let (own, others): (Vec<&Contact>, Vec<&Contact>) =
+        replicas.partition(|contact| contact.registration.name == *chosen);
+    let status = |contact: &Contact| contact.status.filter(|(_, age)| *age <= asked);
+    let own = own.first().and_then(|contact| status(contact));
+    own.is_some_and(|(own, _)| {
+        others.iter().all(|other| {
+            status(other).is_some_and(|(other, _)| {
+                other.held >= Some(term) && other.received <= own.received
+            })
+        })
+    })
+}
--- a/crates/proxy/src/pool/state.rs
+++ b/crates/proxy/src/pool/state.rs
@@ -11,6 +11,8 @@
 
 use crate::clock::BootInstant;
 use crate::pool::Pool;
+use crate::pool::output::Output;
+use crate::pool::step::Command;
 use crate::pool::upstream::Registration;
 use crate::pool::upstream::UpstreamStatus;
 use crate::vm_metrics::PoolLevel;
@@ -33,6 +35,12 @@
 }
 
 impl Contact {
+    /// Tells whether it was paused when it last reported its status.
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        self.status.is_some_and(|(status, _)| status.held.is_some())
+    }
+
     /// Tells whether another upstream is to take its place as primary.
     #[must_use]
     pub fn is_departing(&self) -> bool {
@@ -52,6 +60,7 @@
             (self.registration.draining, "+draining"),
             (self.evacuated, "+evacuated"),
             (self.failing.is_some(), "+failing"),
+            (self.is_held(), "+held"),
         ];
         let present = marks.iter().filter(|(present, _)| *present);
         present
@@ -125,10 +134,24 @@
     }
 
     /// Returns the actions that query the status of every upstream.
-    pub fn ask_status_of_all(&mut self, now: BootInstant) -> Vec<crate::pool::Output> {
+    pub fn ask_status_of_all(&mut self, now: BootInstant) -> Vec<Output> {
+        self.command_some(&[], &Command::Status, now)
+    }
+
+    /// Returns the actions that send some upstreams a command, and query the status of the others.
+    pub fn command_some(
+        &mut self,
+        some: &[UpstreamName],
+        command: &Command,
+        now: BootInstant,
+    ) -> Vec<Output> {
         let names: Vec<UpstreamName> = self.upstreams.keys().cloned().collect();
         for name in names {
-            self.ask_status(&name, now);
+            if some.contains(&name) {
+                self.command(&name, command.clone(), now);
+            } else {
+                self.ask_status(&name, now);
+            }
         }
         std::mem::take(&mut self.outputs)
     }
--- a/crates/proxy/src/pool/status_poll.rs
+++ b/crates/proxy/src/pool/status_poll.rs
@@ -63,6 +63,11 @@
 
     /// Queries an upstream's status, on a new connection if none is idle.
     pub(super) fn ask_status(&mut self, name: &UpstreamName, now: BootInstant) {
+        self.command(name, Command::Status, now);
+    }
+
+    /// Sends an upstream a command that returns its status, on a new connection if none is idle.
+    pub(super) fn command(&mut self, name: &UpstreamName, command: Command, now: BootInstant) {
         let is_primary = self.primary.upstream() == Some(name);
         let Some(upstream) = self.upstreams.get_mut(name) else {
             return;
@@ -86,7 +91,7 @@
             return;
         };
         if let Some(connection) = self.connections.get_mut(&id) {
-            let step = Step::internal(Purpose::Status, Command::Status);
+            let step = Step::internal(Purpose::Status, command);
             connection.steps.push_back(step);
         }
         if idle.is_some() {
--- a/crates/proxy/src/pool/step.rs
+++ b/crates/proxy/src/pool/step.rs
@@ -26,8 +26,18 @@
     Reset,
     /// Query role, term and log positions.
     Status,
-    /// Stop a replica from receiving the log of terms below a new one.
+    /// Stop a replica from receiving the log of terms below a new one; returns its status.
     Pause(Term),
+    /// Let a paused replica receive again; returns its status.
+    Continue,
+}
+
+impl Command {
+    /// Tells whether the answer is a status.
+    #[must_use]
+    pub fn returns_status(&self) -> bool {
+        matches!(self, Self::Status | Self::Pause(_) | Self::Continue)
+    }
 }
 
 /// One query to an upstream.
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -19,6 +19,7 @@
 use crate::link_handler::LinkHandler;
 use crate::link_handler::PoolInbox;
 use crate::pool::Candidate;
+use crate::pool::Command;
 use crate::pool::ConnectionId;
 use crate::pool::Contact;
 use crate::pool::Input;
@@ -46,6 +47,8 @@
     State(oneshot::Sender<PoolState>),
     /// Ask every upstream for its status.
     AskStatus,
+    /// Send some upstreams a command that returns their status, and ask the others for theirs.
+    Command(Vec<UpstreamName>, Command),
 }
 
 /// Contacts of a pool with its upstreams at one time.
@@ -289,6 +292,11 @@
                 self.execute(outputs);
                 true
             }
+            Probe::Command(upstreams, command) => {
+                let outputs = self.pool.command_some(&upstreams, &command, now);
+                self.execute(outputs);
+                true
+            }
         };
         if !delivered {
             tracing::debug!(event = "probe_reply_dropped", group = %self.group);
--- a/crates/proxy/src/runner/dial.rs
+++ b/crates/proxy/src/runner/dial.rs
@@ -14,7 +14,6 @@
 use tokio_util::codec::Framed;
 
 use crate::link_handler::PoolInbox;
-use crate::pool::Command;
 use crate::pool::ConnectionId;
 use crate::pool::Input;
 use crate::pool::OpenFailure;
@@ -117,7 +116,7 @@
                 self.quit::<W>(stream).await;
                 return;
             };
-            let asks_status = query.command == Command::Status;
+            let asks_status = query.command.returns_status();
             let answer = tokio::select! {
                 answer = exchange::<W>(&mut stream, query) => answer,
                 () = until_closed(&mut queries) => return,
--- a/crates/proxy/src/vm/steward/promotion.rs
+++ b/crates/proxy/src/vm/steward/promotion.rs
@@ -20,6 +20,7 @@
 use crate::platform::Claim;
 use crate::platform::PlatformError;
 use crate::platform::Promotion;
+use crate::pool::Command;
 use crate::runner::Contacts;
 use crate::runner::Probe;
 use crate::vm::steward::ActionDone;
@@ -55,9 +56,15 @@
             tracing::info!(event = "succession", group = %group, action = ?action, evacuated, statuses);
         }
         match action {
-            Action::AskStatus => self.ask_statuses(&group),
+            Action::AskStatus => self.probe(&group, Probe::AskStatus),
+            Action::Pause(term, upstreams) => {
+                self.probe(&group, Probe::Command(upstreams, Command::Pause(term)));
+            }
+            Action::Continue(upstreams) => {
+                self.probe(&group, Probe::Command(upstreams, Command::Continue));
+            }
             Action::AskPeers(upstream) => {
-                self.ask_statuses(&group);
+                self.probe(&group, Probe::AskStatus);
                 let address = contacts.and_then(|c| address_of(c, &upstream));
                 run_action(steward, group.clone(), async move {
                     ask_peers(&deps, &group, address).await
@@ -88,10 +95,10 @@
 }
 
 impl Steward {
-    /// Asks every upstream of a group for its status; the replies appear in the pool's contacts.
-    fn ask_statuses(&self, group: &GroupName) {
+    /// Has a group's pool ask its upstreams; the replies appear in the pool's contacts.
+    fn probe(&self, group: &GroupName, probe: Probe) {
         if let Some(watched) = self.groups.get(group)
-            && watched.pool.probes.send(Probe::AskStatus).is_err()
+            && watched.pool.probes.send(probe).is_err()
         {
             tracing::error!(event = "pool_gone", group = %group);
         }
--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -31,6 +31,7 @@
         role: Role::Replica,
         term: Term(1),
         received: Position::new(1, received),
+        held: None,
     };
     Contact {
         registration: Registration {
@@ -401,3 +402,95 @@
     let mut failover = collecting_statuses(&contacts);
     assert_eq!(failover.tick(Some(&name("u0")), &contacts, at(300)), None);
 }
+
+/// Returns a contact with a replica that is paused under a term.
+fn held(contact: Contact, term: u64) -> Contact {
+    let hold = |(status, age)| {
+        let held = Some(Term(term));
+        (UpstreamStatus { held, ..status }, age)
+    };
+    Contact {
+        status: contact.status.map(hold),
+        ..contact
+    }
+}
+
+/// Returns a failover that has asked u1 to pause, and is about to promote u2 at a working primary's place.
+fn pausing_the_others() -> Failover {
+    let primary = name("u0");
+    let contacts = [
+        draining(contact("u0", 100)),
+        contact("u1", 100),
+        contact("u2", 100),
+    ];
+    let mut failover = with_token(&primary, &contacts, 7);
+    failover.set_sync_replicas(1);
+    failover.tick(Some(&primary), &contacts, at(0));
+    let next = failover.tick(Some(&primary), &contacts, at(100));
+    assert_eq!(next, Some(Action::Pause(Term(2), vec![name("u1")])));
+    failover
+}
+
+/// Guards against a commit that only the other replica has received when the promotion takes effect (LOST).
+#[test]
+fn planned_promotion_waits_until_the_chosen_replica_has_what_the_paused_one_has() {
+    let primary = name("u0");
+    let mut failover = pausing_the_others();
+    let behind = [
+        draining(contact("u0", 103)),
+        held(contact("u1", 102), 2),
+        contact("u2", 101),
+    ];
+    let next = failover.tick(Some(&primary), &behind, at(200));
+    assert_eq!(next, Some(Action::Pause(Term(2), vec![name("u1")])));
+    let ahead = [
+        draining(contact("u0", 104)),
+        held(contact("u1", 102), 2),
+        contact("u2", 103),
+    ];
+    let promoted = failover.tick(Some(&primary), &ahead, at(300));
+    assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(7))));
+}
+
+#[test]
+fn planned_promotion_is_put_off_if_the_other_replica_cannot_be_paused() {
+    let primary = name("u0");
+    let mut failover = pausing_the_others();
+    let contacts = [
+        draining(contact("u0", 100)),
+        held(contact("u1", 100), 1),
+        contact("u2", 100),
+    ];
+    let ticks = (200..700).step_by(50);
+    let actions = ticks.filter_map(|millis| failover.tick(Some(&primary), &contacts, at(millis)));
+    let actions: Vec<Action> = actions.collect();
+    assert_eq!(
+        actions.last(),
+        Some(&Action::Continue(vec![name("u1")])),
+        "it receives again"
+    );
+    assert_eq!(failover.take_unmet(), Some(Unmet::NotPaused));
+    assert!(!actions.iter().any(|a| matches!(a, Action::Promote(..))));
+}
+
+/// A home that ends between the pause and the promotion leaves replicas paused.
+#[test]
+fn replica_that_nobody_promotes_beside_receives_again() {
+    let primary = name("u0");
+    let contacts = [contact("u0", 100), held(contact("u1", 90), 2)];
+    let mut failover = with_token(&primary, &contacts, 7);
+    let next = failover.tick(Some(&primary), &contacts, at(50));
+    assert_eq!(next, Some(Action::Continue(vec![name("u1")])));
+    assert_eq!(failover.tick(Some(&primary), &contacts, at(100)), None);
+}
+
+#[test]
+fn planned_promotion_of_an_asynchronous_group_pauses_nobody() {
+    let contacts = [
+        draining(contact("u0", 100)),
+        contact("u1", 100),
+        contact("u2", 100),
+    ];
+    let promoted = replaced_primary(&contacts);
+    assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(7))));
+}
--- a/crates/proxy/tests/pool/simulation.rs
+++ b/crates/proxy/tests/pool/simulation.rs
@@ -370,7 +370,7 @@
         if upstream.health == Health::Silent {
             return;
         }
-        if query.command == Command::Status {
+        if query.command.returns_status() {
             let status = upstream.status();
             let position = Some(upstream.applied);
             self.after(
@@ -416,6 +416,7 @@
             role: self.role,
             term: self.applied.term,
             received: self.applied,
+            held: None,
         }
     }
 
