--- a/crates/entry/tests/entry/drain.rs
+++ b/crates/entry/tests/entry/drain.rs
@@ -59,7 +59,7 @@
     let stopping = async {
         eventually(|| bed.pool.log().len() > requests).await;
         bed.lifecycle.drain();
-        Instant::now() + Duration::from_millis(1_000)
+        Instant::now() + Duration::from_secs(1)
     };
     let answering = async { (busy.batch_execute(sql).await, Instant::now()) };
     let (end, (answered, at)) = tokio::join!(stopping, answering);
--- a/crates/proxy/src/group/failover.rs
+++ b/crates/proxy/src/group/failover.rs
@@ -135,7 +135,7 @@
                 since,
                 asked,
             } if now.since(asked) >= STATUS_WAIT => {
-                self.check_paused(chosen, term, since, primary, contacts, now)
+                Some(self.check_paused(chosen, term, since, primary, contacts, now))
             }
             Stage::Confirming { since, .. } if now.since(since) >= CONFIRM_TIMEOUT => {
                 self.stage = Stage::Claiming;
@@ -350,7 +350,7 @@
             };
             return Some(Action::Pause(term, others));
         }
-        self.promote(chosen)
+        Some(self.promote(chosen))
     }
 
     /// Promotes the chosen upstream once the others are paused and it has what they have.
@@ -362,7 +362,7 @@
         primary: Option<&UpstreamName>,
         contacts: &[Contact],
         now: BootInstant,
-    ) -> Option<Action> {
+    ) -> Action {
         if is_ahead_of_paused(&chosen, term, primary, contacts, now.since(since)) {
             return self.promote(chosen);
         }
@@ -370,7 +370,7 @@
         if now.since(since) >= MAX_COLLECT_TIME {
             self.unmet = Some(Unmet::NotPaused);
             self.back_off(now);
-            return Some(Action::Continue(others));
+            return Action::Continue(others);
         }
         self.stage = Stage::Pausing {
             chosen,
@@ -378,19 +378,21 @@
             since,
             asked: now,
         };
-        Some(Action::Pause(term, others))
+        Action::Pause(term, others)
     }
 
-    fn promote(&mut self, chosen: UpstreamName) -> Option<Action> {
-        // A token is used once: an earlier unanswered call with the same token could take effect later.
+    /// Promotes an upstream under the token, which is used once.
+    ///
+    /// An earlier unanswered call with the same token could take effect later.
+    fn promote(&mut self, chosen: UpstreamName) -> Action {
         let Some(token) = self.token.take() else {
             self.stage = Stage::Claiming;
-            return Some(Action::Claim);
+            return Action::Claim;
         };
         self.stage = Stage::Promoting {
             chosen: chosen.clone(),
         };
-        Some(Action::Promote(chosen, token))
+        Action::Promote(chosen, token)
     }
 
     /// Asks for statuses once more, or ends the choice without a promotion.
--- a/crates/proxy/src/group/required.rs
+++ b/crates/proxy/src/group/required.rs
@@ -49,13 +49,11 @@
         if candidates.is_empty() {
             return Err(Unmet::NoCandidate);
         }
-        match self.floor {
-            Some(floor) => successor(candidates, floor).ok_or(Unmet::Behind(floor)),
-            None => {
-                self.check_answers(primary, contacts, asked)?;
-                most_advanced(candidates).ok_or(Unmet::NoCandidate)
-            }
+        if let Some(floor) = self.floor {
+            return successor(candidates, floor).ok_or(Unmet::Behind(floor));
         }
+        self.check_answers(primary, contacts, asked)?;
+        most_advanced(candidates).ok_or(Unmet::NoCandidate)
     }
 
     /// Tells whether commits go on that only replicas beside the chosen one might receive.
--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -188,7 +188,7 @@
 #[test_case(0, true; "asynchronous")]
 #[test_case(1, false; "one_of_two_replicas")]
 #[test_case(2, true; "both_replicas")]
-fn silent_replica_stops_the_promotion_if_only_it_may_hold_a_commit(sync: u32, promotes: bool) {
+fn silent_replica_stops_the_promotion_if_only_it_may_hold_a_commit(sync: u32, goes_on: bool) {
     let contacts = [
         failing("u0"),
         contact("u1", 90),
@@ -203,9 +203,9 @@
         }
         matches!(next, Some(Action::Promote(..)))
     });
-    assert_eq!(promoted, promotes);
+    assert_eq!(promoted, goes_on);
     let unmet = failover.take_unmet();
-    assert_eq!(unmet == Some(Unmet::Unanswered(1)), !promotes);
+    assert_eq!(unmet == Some(Unmet::Unanswered(1)), !goes_on);
 }
 
 /// Guards against commits that are lost when a draining primary is replaced while it works (LOST).
--- a/crates/proxy/tests/pool.rs
+++ b/crates/proxy/tests/pool.rs
@@ -2,6 +2,8 @@
 
 #[path = "pool/evacuation.rs"]
 mod evacuation;
+#[path = "pool/fake_upstream.rs"]
+mod fake_upstream;
 #[path = "pool/faults.rs"]
 mod faults;
 #[path = "pool/load.rs"]
@@ -16,5 +18,7 @@
 mod sessions;
 #[path = "pool/simulation.rs"]
 mod simulation;
+#[path = "pool/units.rs"]
+mod units;
 #[path = "pool/warmup.rs"]
 mod warmup;
--- a/crates/proxy/tests/pool/evacuation.rs
+++ b/crates/proxy/tests/pool/evacuation.rs
@@ -11,13 +11,13 @@
 use mustardbay_proxy::work::Verb;
 use test_case::test_case;
 
-use crate::simulation::Health;
+use crate::fake_upstream::Health;
 use crate::simulation::Simulation;
-use crate::simulation::bounded_read;
-use crate::simulation::first_of_transaction;
 use crate::simulation::name;
-use crate::simulation::single;
-use crate::simulation::unit_id;
+use crate::units::bounded_read;
+use crate::units::first_of_transaction;
+use crate::units::single;
+use crate::units::unit_id;
 
 /// Time for which an evacuated primary still serves.
 const SERVES: Duration = Duration::from_secs(2);
--- a/crates/proxy/tests/pool/faults.rs
+++ b/crates/proxy/tests/pool/faults.rs
@@ -13,13 +13,13 @@
 use mustardbay_proxy::work::WorkUnit;
 use test_case::test_case;
 
-use crate::simulation::Health;
+use crate::fake_upstream::Health;
 use crate::simulation::Simulation;
-use crate::simulation::bounded_read;
-use crate::simulation::first_of_transaction;
 use crate::simulation::name;
-use crate::simulation::single;
-use crate::simulation::unit_id;
+use crate::units::bounded_read;
+use crate::units::first_of_transaction;
+use crate::units::single;
+use crate::units::unit_id;
 
 #[test_case(single(Verb::Write, "w"), Code::InDoubt; "single_write")]
 fn lost_answer_to_write_is_in_doubt(unit: WorkUnit, code: Code) {
@@ -233,7 +233,7 @@
 /// Guards against a statement that is sent just before the process of the home ends (LOST).
 ///
 /// A commit that was not sent is told as not kept; one that was sent is waited for.
-#[test_case(Duration::from_millis(3_000), None; "in_time")]
+#[test_case(Duration::from_secs(3), None; "in_time")]
 #[test_case(Duration::from_millis(4_100), Some(Code::Aborted); "too_late")]
 fn transaction_at_a_retired_pool_may_end_in_time(after: Duration, code: Option<Code>) {
     let mut sim = Simulation::new(14);
--- a/crates/proxy/tests/pool/load.rs
+++ b/crates/proxy/tests/pool/load.rs
@@ -9,8 +9,8 @@
 use mustardbay_proxy::work::WorkUnit;
 
 use crate::simulation::Simulation;
-use crate::simulation::bounded_read;
-use crate::simulation::single;
+use crate::units::bounded_read;
+use crate::units::single;
 
 /// Time up to which a refusal counts as immediate.
 const AT_ONCE: Duration = Duration::from_millis(5);
--- a/crates/proxy/tests/pool/partition.rs
+++ b/crates/proxy/tests/pool/partition.rs
@@ -6,11 +6,11 @@
 use mustardbay_proxy::work::Verb;
 use mustardbay_proxy::work::WorkUnit;
 
-use crate::simulation::Health;
+use crate::fake_upstream::Health;
 use crate::simulation::Simulation;
-use crate::simulation::bounded_read;
 use crate::simulation::position;
-use crate::simulation::single;
+use crate::units::bounded_read;
+use crate::units::single;
 
 /// Time between two reads: 40 a second, a third of one group's load in a small fleet.
 const READ_INTERVAL: Duration = Duration::from_millis(25);
--- a/crates/proxy/tests/pool/reads.rs
+++ b/crates/proxy/tests/pool/reads.rs
@@ -8,11 +8,11 @@
 use mustardbay_proxy::work::Verb;
 use mustardbay_proxy::work::WorkUnit;
 
-use crate::simulation::Health;
+use crate::fake_upstream::Health;
 use crate::simulation::Simulation;
-use crate::simulation::bounded_read;
 use crate::simulation::position;
-use crate::simulation::single;
+use crate::units::bounded_read;
+use crate::units::single;
 
 #[test]
 fn read_bounded_runs_on_a_replica_after_the_primarys_position() {
--- a/crates/proxy/tests/pool/regions.rs
+++ b/crates/proxy/tests/pool/regions.rs
@@ -10,8 +10,8 @@
 use test_case::test_case;
 
 use crate::simulation::Simulation;
-use crate::simulation::bounded_read;
-use crate::simulation::single;
+use crate::units::bounded_read;
+use crate::units::single;
 
 fn bound(unit: WorkUnit, domains: &[&str]) -> WorkUnit {
     let names = domains.iter().map(|name| (*name).to_owned());
--- a/crates/proxy/tests/pool/sessions.rs
+++ b/crates/proxy/tests/pool/sessions.rs
@@ -9,7 +9,7 @@
 use mustardbay_proxy::work::WorkUnit;
 
 use crate::simulation::Simulation;
-use crate::simulation::single;
+use crate::units::single;
 
 fn with_setting(id: &str, value: &str) -> WorkUnit {
     WorkUnit {
--- a/crates/proxy/tests/pool/simulation.rs
+++ b/crates/proxy/tests/pool/simulation.rs
@@ -22,18 +22,14 @@
 use mustardbay_proxy::pool::Query;
 use mustardbay_proxy::pool::Registration;
 use mustardbay_proxy::pool::Role;
-use mustardbay_proxy::pool::UnitId;
-use mustardbay_proxy::pool::UpstreamStatus;
 use mustardbay_proxy::work::Answer;
-use mustardbay_proxy::work::Code;
-use mustardbay_proxy::work::Guarantee;
-use mustardbay_proxy::work::Statement;
 use mustardbay_proxy::work::TransactionState;
-use mustardbay_proxy::work::Verb;
 use mustardbay_proxy::work::WorkUnit;
 
-/// Mean time for which a statement holds a slot.
-pub const SERVICE: Duration = Duration::from_millis(20);
+use crate::fake_upstream::FakeUpstream;
+use crate::fake_upstream::Health;
+use crate::units::unit_id;
+
 /// Time for which opening a connection holds a slot.
 pub const OPENING: Duration = Duration::from_millis(12);
 /// Number of statements that an upstream runs at a time.
@@ -43,36 +39,6 @@
 /// Time between two ticks of the pool.
 const TICK: Duration = Duration::from_millis(50);
 
-/// How an upstream reacts to connections and queries.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Health {
-    /// It answers every query.
-    Up,
-    /// It refuses new connections and has broken the open ones.
-    Down,
-    /// It never answers, as if the network dropped every packet.
-    Silent,
-    /// It runs statements but breaks the connection before the answer.
-    LosesAnswers,
-}
-
-/// Simulated upstream.
-#[derive(Debug)]
-pub struct FakeUpstream {
-    pub health: Health,
-    pub role: Role,
-    /// Log position that it has applied.
-    pub applied: Position,
-    /// When each of its slots is free again.
-    slots: Vec<BootInstant>,
-    /// Ids of the statements that it has run, in order.
-    pub ran: Vec<String>,
-    /// Texts of the queries that it received, in order.
-    pub sent: Vec<String>,
-    /// Whether statements take between 8 and 40 ms, 20 ms on average, instead of 20 ms each.
-    pub uneven: bool,
-}
-
 /// Pool with simulated upstreams and a virtual clock.
 pub struct Simulation {
     pub pool: Pool,
@@ -133,16 +99,7 @@
             } else {
                 Role::Replica
             };
-            let upstream = FakeUpstream {
-                health: Health::Up,
-                role,
-                applied: Position::new(1, 100),
-                slots: vec![BootInstant::default(); 3],
-                ran: Vec::new(),
-                sent: Vec::new(),
-                uneven: false,
-            };
-            (name(index), upstream)
+            (name(index), FakeUpstream::new(role))
         });
         let mut sim = Self {
             pool: Pool::new(DomainName::from(domain)),
@@ -391,88 +348,6 @@
     }
 }
 
-impl FakeUpstream {
-    /// Occupies the first free slot and returns when it is free again.
-    fn hold_slot(&mut self, now: BootInstant, time: Duration) -> BootInstant {
-        let slot = self.slots.iter_mut().min().expect("an upstream has slots");
-        *slot = (*slot).max(now).after(time);
-        *slot
-    }
-
-    /// Returns how long a statement holds its slot; an id that begins with `long` triples the time.
-    fn service_time(&self, id: &str) -> Duration {
-        let tenths = if id.starts_with("long") {
-            30
-        } else if self.uneven {
-            [4, 20, 6, 12, 8][self.ran.len() % 5]
-        } else {
-            10
-        };
-        SERVICE * tenths / 10
-    }
-
-    fn status(&self) -> UpstreamStatus {
-        UpstreamStatus {
-            role: self.role,
-            term: self.applied.term,
-            received: self.applied,
-            held: None,
-        }
-    }
-
-    fn run(
-        &mut self,
-        query: &Query,
-        state: TransactionState,
-        now: BootInstant,
-    ) -> (Answer, BootInstant) {
-        let refuse = |code| {
-            let state = if state == TransactionState::Idle {
-                TransactionState::Idle
-            } else {
-                TransactionState::Failed
-            };
-            (Answer::failed(code, "refused", state), now)
-        };
-        if query.after.is_some_and(|floor| !self.applied.covers(floor)) {
-            let (mut answer, at) = refuse(Code::Lagging);
-            answer.position = Some(self.applied.into());
-            return (answer, at);
-        }
-        let (state, at) = match &query.command {
-            Command::Begin if self.role == Role::Replica => return refuse(Code::ReadOnly),
-            Command::Begin | Command::BeginRead => (TransactionState::Open, now),
-            Command::Rollback => (TransactionState::Idle, now),
-            Command::Statement(statement) => {
-                if statement.verb() == Verb::Write && self.role == Role::Replica {
-                    return refuse(Code::ReadOnly);
-                }
-                let writes = statement.verb() == Verb::Write && state == TransactionState::Idle;
-                if writes || statement.verb() == Verb::Commit {
-                    self.applied.index += 1;
-                }
-                self.ran.push(statement.id.clone());
-                let ends = statement.verb() == Verb::Commit;
-                let after = if ends { TransactionState::Idle } else { state };
-                let time = self.service_time(&statement.id);
-                (after, self.hold_slot(now, time))
-            }
-            _ => (state, now),
-        };
-        let answer = Answer {
-            signature: Some("s".to_owned()),
-            state: state.into(),
-            position: Some(self.applied.into()),
-            ..Answer::default()
-        };
-        (answer, at)
-    }
-}
-
-pub fn unit_id(number: u64) -> UnitId {
-    UnitId { link: 1, number }
-}
-
 fn text(query: &Query) -> String {
     let after = query
         .after
@@ -486,37 +361,6 @@
     format!("{after}{command}")
 }
 
-/// Returns a single statement of account `a0` with the guarantee `Primary`.
-pub fn single(verb: Verb, id: &str) -> WorkUnit {
-    WorkUnit {
-        statement: Statement::new(id, verb, id),
-        account: "a0".to_owned(),
-        group: "g".to_owned(),
-        guarantee: Guarantee::Primary.into(),
-        priority: 1,
-        left_ms: 800,
-        objective_ms: 250,
-        ..WorkUnit::default()
-    }
-}
-
-/// Returns a single read with a staleness bound of 1.5 s.
-pub fn bounded_read(id: &str) -> WorkUnit {
-    WorkUnit {
-        guarantee: Guarantee::BoundedStaleness.into(),
-        staleness_ms: 1_500,
-        ..single(Verb::Read, id)
-    }
-}
-
-/// Returns the first statement of a transaction that may write.
-pub fn first_of_transaction(verb: Verb, id: &str) -> WorkUnit {
-    WorkUnit {
-        begin: Some(Statement::new(format!("{id}-begin"), Verb::Begin, "BEGIN")),
-        ..single(verb, id)
-    }
-}
-
 /// Returns the position `index` of term 1.
 pub fn position(index: u64) -> Position {
     Position {
--- a/crates/proxy/tests/pool/warmup.rs
+++ b/crates/proxy/tests/pool/warmup.rs
@@ -6,12 +6,12 @@
 use mustardbay_proxy::work::Statement;
 use mustardbay_proxy::work::Verb;
 
-use crate::simulation::Health;
+use crate::fake_upstream::Health;
 use crate::simulation::Simulation;
-use crate::simulation::bounded_read;
-use crate::simulation::first_of_transaction;
-use crate::simulation::single;
-use crate::simulation::unit_id;
+use crate::units::bounded_read;
+use crate::units::first_of_transaction;
+use crate::units::single;
+use crate::units::unit_id;
 
 const LIMIT: usize = 8;
 /// Steps of a test, at each of which a unit arrives.
