Withdraw from groups that the configuration has dropped

What operators would see: a version removes a service. The vm that was its home goes on holding its connections and its promotion duty, and promotes when the service's primary is taken down, for as long as the vm lives.

Cause: the steward walked through the configured groups only.

Change: for a dropped group the home gives its duty up, idle connections are closed and nothing new is opened; a transaction that is open goes on, as a changed route counts from the next one on. home_changed is logged as before.

Test, without the change: site::duty::dropped_group_gets_no_new_primary failed, the duty was still held. With it the tests of site::duty and site::evacuation pass.

--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -77,6 +77,27 @@
     given_up: Option<AbortOnDropHandle<()>>,
 }
 
+impl WatchedGroup {
+    /// Begins or ends the monitoring of the group's primary, by this vm's rank among the group's vms.
+    fn set_rank(
+        &mut self,
+        deps: &Arc<Deps>,
+        group: &GroupName,
+        rank: Option<usize>,
+        connections: u32,
+    ) {
+        let home = rank == Some(0);
+        if self.home == home {
+            return;
+        }
+        tracing::info!(event = "home_changed", group = %group, home, rank, connections);
+        self.home = home;
+        let ended = std::mem::take(&mut self.failover);
+        let given_up = promotion::give_up_duty(deps, group.clone(), &ended);
+        self.given_up = (!home).then_some(given_up);
+    }
+}
+
 /// Applies this vm's assignment and monitors the primaries of the groups it is home of.
 #[derive(Actor)]
 pub(crate) struct Steward {
@@ -292,13 +313,7 @@
             let home = rank == Some(0);
             let upstreams = self.upstreams_of(group, snapshot);
             let watched = self.watched_group(group);
-            if watched.home != home {
-                tracing::info!(event = "home_changed", group = %group, home, rank, connections);
-                watched.home = home;
-                let ended = std::mem::take(&mut watched.failover);
-                let given_up = promotion::give_up_duty(&deps, group.clone(), &ended);
-                watched.given_up = (!home).then_some(given_up);
-            }
+            watched.set_rank(&deps, group, rank, connections);
             watched.failover.set_sync_replicas(limits.sync_replicas);
             watched.pool.tell(group, upstreams);
             let share = Input::Share {
@@ -313,15 +328,27 @@
         self.assign_accounts(view, &assignment, steward);
     }
 
-    /// Updates the upstreams of groups that the configuration has dropped.
+    /// Withdraws from groups that the configuration has dropped.
     ///
-    /// Transactions that were open then go on there.
-    fn update_dropped_groups(&self, snapshot: &Snapshot) {
+    /// Transactions that were open then go on there, so their pools still hear of the upstreams.
+    fn update_dropped_groups(&mut self, snapshot: &Snapshot) {
         let configured = &snapshot.configuration.groups;
-        for (group, watched) in &self.groups {
-            if !configured.contains_key(group) {
-                watched.pool.tell(group, self.upstreams_of(group, snapshot));
-            }
+        let groups = self.groups.keys();
+        let dropped = groups.filter(|group| !configured.contains_key(*group));
+        let dropped = dropped.map(|group| (group.clone(), self.upstreams_of(group, snapshot)));
+        let dropped: Vec<(GroupName, Input)> = dropped.collect();
+        let deps = Arc::clone(&self.deps);
+        for (group, upstreams) in dropped {
+            let watched = self.watched_group(&group);
+            watched.set_rank(&deps, &group, None, 0);
+            watched.pool.tell(&group, upstreams);
+            let nothing_new = Input::Share {
+                connections: 0,
+                cold_limit: None,
+                home: false,
+                status_account: None,
+            };
+            watched.pool.tell(&group, nothing_new);
         }
     }
 
