Call a paused replica paused, and a failover's next try a retry

Names only: UpstreamStatus::held and Contact::is_held were a second word for the protocol's pause, and paused_until in the failover meant its own pause between tries.

--- a/crates/proxy/src/group/failover.rs
+++ b/crates/proxy/src/group/failover.rs
@@ -78,7 +78,7 @@
     claiming: bool,
     /// Whether an earlier claim got no answer, and none has succeeded since.
     unanswered_claim: bool,
-    paused_until: BootInstant,
+    retry_after: BootInstant,
     /// Time from which a claim in advance may be tried again.
     claim_after: BootInstant,
     no_primary_since: Option<BootInstant>,
@@ -98,7 +98,7 @@
             held_token: None,
             claiming: false,
             unanswered_claim: false,
-            paused_until: BootInstant::default(),
+            retry_after: BootInstant::default(),
             claim_after: BootInstant::default(),
             no_primary_since: None,
             required: Required::default(),
@@ -257,7 +257,7 @@
     fn back_off(&mut self, now: BootInstant) {
         self.claiming = false;
         self.stage = Stage::Monitoring;
-        self.paused_until = now.after(RETRY_DELAY);
+        self.retry_after = now.after(RETRY_DELAY);
     }
 
     /// Ends a failover if the promoted upstream is primary, or if the old primary works again.
@@ -294,7 +294,7 @@
             self.claiming = true;
             return Some(Action::Claim);
         }
-        if now < self.paused_until {
+        if now < self.retry_after {
             return None;
         }
         let Some(primary) = primary else {
@@ -313,12 +313,12 @@
         if contact.is_departing() && has_candidate(primary, contacts) {
             return Some(self.start_choice(now));
         }
-        let held = contacts.iter().filter(|contact| contact.is_held());
-        let held: Vec<UpstreamName> = held.map(|c| c.registration.name.clone()).collect();
-        if !held.is_empty() && !suspect {
+        let paused = contacts.iter().filter(|contact| contact.is_paused());
+        let paused: Vec<UpstreamName> = paused.map(|c| c.registration.name.clone()).collect();
+        if !paused.is_empty() && !suspect {
             // Nobody is promoted: a home before this one left them paused.
-            self.paused_until = now.after(RETRY_DELAY);
-            return Some(Action::Continue(held));
+            self.retry_after = now.after(RETRY_DELAY);
+            return Some(Action::Continue(paused));
         }
         if suspect {
             self.stage = Stage::AskingPeers { since: now };
--- a/crates/proxy/src/group/required.rs
+++ b/crates/proxy/src/group/required.rs
@@ -167,7 +167,7 @@
     own.is_some_and(|(own, _)| {
         others.iter().all(|other| {
             status(other).is_some_and(|(other, _)| {
-                other.held >= Some(term) && other.received <= own.received
+                other.paused >= Some(term) && other.received <= own.received
             })
         })
     })
--- a/crates/proxy/src/pool/state.rs
+++ b/crates/proxy/src/pool/state.rs
@@ -37,8 +37,9 @@
 impl Contact {
     /// Tells whether it was paused when it last reported its status.
     #[must_use]
-    pub fn is_held(&self) -> bool {
-        self.status.is_some_and(|(status, _)| status.held.is_some())
+    pub fn is_paused(&self) -> bool {
+        self.status
+            .is_some_and(|(status, _)| status.paused.is_some())
     }
 
     /// Tells whether another upstream is to take its place as primary.
@@ -60,7 +61,7 @@
             (self.registration.draining, "+draining"),
             (self.evacuated, "+evacuated"),
             (self.failing.is_some(), "+failing"),
-            (self.is_held(), "+held"),
+            (self.is_paused(), "+paused"),
         ];
         let present = marks.iter().filter(|(present, _)| *present);
         present
--- a/crates/proxy/src/pool/upstream.rs
+++ b/crates/proxy/src/pool/upstream.rs
@@ -55,8 +55,8 @@
     pub term: Term,
     /// Position up to which it has received the log.
     pub received: Position,
-    /// Term under which it is paused: it receives nothing of older ones.
-    pub held: Option<Term>,
+    /// Term under which it is paused, if it is: it receives nothing of older ones.
+    pub paused: Option<Term>,
 }
 
 /// Registration of an upstream in the platform's list.
--- a/crates/proxy/src/vm.rs
+++ b/crates/proxy/src/vm.rs
@@ -180,6 +180,7 @@
     platform: &dyn Platform,
 ) {
     tracing::info!(event = "vm_stopping", vm = %settings.vm);
+    // What is sent to an upstream later might be cut by the end of the process.
     let transaction_end = settings.grace() * session::LAST_START_PERCENT / 100;
     handler.tell_pools(&Input::Retire(BootInstant::now().after(transaction_end)));
     if let Some(lease) = vm_lease.lease() {
--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -31,7 +31,7 @@
         role: Role::Replica,
         term: Term(1),
         received: Position::new(1, received),
-        held: None,
+        paused: None,
     };
     Contact {
         registration: Registration {
@@ -404,13 +404,13 @@
 }
 
 /// Returns a contact with a replica that is paused under a term.
-fn held(contact: Contact, term: u64) -> Contact {
-    let hold = |(status, age)| {
-        let held = Some(Term(term));
-        (UpstreamStatus { held, ..status }, age)
+fn paused(contact: Contact, term: u64) -> Contact {
+    let pause = |(status, age)| {
+        let paused = Some(Term(term));
+        (UpstreamStatus { paused, ..status }, age)
     };
     Contact {
-        status: contact.status.map(hold),
+        status: contact.status.map(pause),
         ..contact
     }
 }
@@ -438,14 +438,14 @@
     let mut failover = pausing_the_others();
     let behind = [
         draining(contact("u0", 103)),
-        held(contact("u1", 102), 2),
+        paused(contact("u1", 102), 2),
         contact("u2", 101),
     ];
     let next = failover.tick(Some(&primary), &behind, at(200));
     assert_eq!(next, Some(Action::Pause(Term(2), vec![name("u1")])));
     let ahead = [
         draining(contact("u0", 104)),
-        held(contact("u1", 102), 2),
+        paused(contact("u1", 102), 2),
         contact("u2", 103),
     ];
     let promoted = failover.tick(Some(&primary), &ahead, at(300));
@@ -458,7 +458,7 @@
     let mut failover = pausing_the_others();
     let contacts = [
         draining(contact("u0", 100)),
-        held(contact("u1", 100), 1),
+        paused(contact("u1", 100), 1),
         contact("u2", 100),
     ];
     let ticks = (200..700).step_by(50);
@@ -477,7 +477,7 @@
 #[test]
 fn replica_that_nobody_promotes_beside_receives_again() {
     let primary = name("u0");
-    let contacts = [contact("u0", 100), held(contact("u1", 90), 2)];
+    let contacts = [contact("u0", 100), paused(contact("u1", 90), 2)];
     let mut failover = with_token(&primary, &contacts, 7);
     let next = failover.tick(Some(&primary), &contacts, at(50));
     assert_eq!(next, Some(Action::Continue(vec![name("u1")])));
--- a/crates/proxy/tests/pool/fake_upstream.rs
+++ b/crates/proxy/tests/pool/fake_upstream.rs
@@ -85,7 +85,7 @@
             role: self.role,
             term: self.applied.term,
             received: self.applied,
-            held: None,
+            paused: None,
         }
     }
 
