--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -1,5 +1,8 @@
 //! Failover from a suspected failure of the primary to the promotion of another upstream.
 
+#[path = "failover/synchronous.rs"]
+mod synchronous;
+
 use std::time::Duration;
 
 use mustardbay_policy::names::DomainName;
@@ -11,7 +14,6 @@
 use mustardbay_proxy::group::Event;
 use mustardbay_proxy::group::Failover;
 use mustardbay_proxy::group::FencingToken;
-use mustardbay_proxy::group::Unmet;
 use mustardbay_proxy::pool::Contact;
 use mustardbay_proxy::pool::Registration;
 use mustardbay_proxy::pool::Role;
@@ -166,48 +168,6 @@
     assert_eq!(promoted, Some(expected));
 }
 
-/// Guards against commits that are lost with a replica that was too busy to answer in time (LOST).
-#[test]
-fn replica_that_may_hold_synchronous_commits_is_waited_for() {
-    let waiting = [
-        failing("u0"),
-        contact("u1", 90),
-        unanswered(contact("u2", 90)),
-    ];
-    let primary = name("u0");
-    let mut failover = collecting_statuses(&waiting);
-    failover.set_sync_replicas(1);
-    let next = failover.tick(Some(&primary), &waiting, at(300));
-    assert_eq!(next, Some(Action::AskStatus), "it is asked again");
-    let answered = [failing("u0"), contact("u1", 90), contact("u2", 95)];
-    let promoted = failover.tick(Some(&primary), &answered, at(450));
-    assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(7))));
-}
-
-/// Guards against the promotion of whoever answers first (LOST).
-#[test_case(0, true; "asynchronous")]
-#[test_case(1, false; "one_of_two_replicas")]
-#[test_case(2, true; "both_replicas")]
-fn silent_replica_stops_the_promotion_if_only_it_may_hold_a_commit(sync: u32, goes_on: bool) {
-    let contacts = [
-        failing("u0"),
-        contact("u1", 90),
-        unanswered(contact("u2", 90)),
-    ];
-    let mut failover = collecting_statuses(&contacts);
-    failover.set_sync_replicas(sync);
-    let promoted = (300..5_000).step_by(50).any(|millis| {
-        let next = failover.tick(Some(&name("u0")), &contacts, at(millis));
-        if next == Some(Action::AskPeers(name("u0"))) {
-            failover.handle(Event::NoPeerReaches, at(millis));
-        }
-        matches!(next, Some(Action::Promote(..)))
-    });
-    assert_eq!(promoted, goes_on);
-    let unmet = failover.take_unmet();
-    assert_eq!(unmet == Some(Unmet::Unanswered(1)), !goes_on);
-}
-
 /// Guards against commits that are lost when a draining primary is replaced while it works (LOST).
 #[test]
 fn draining_primary_is_replaced_by_a_replica_that_has_received_all() {
@@ -402,95 +362,3 @@
     let mut failover = collecting_statuses(&contacts);
     assert_eq!(failover.tick(Some(&name("u0")), &contacts, at(300)), None);
 }
-
-/// Returns a contact with a replica that is paused under a term.
-fn paused(contact: Contact, term: u64) -> Contact {
-    let pause = |(status, age)| {
-        let paused = Some(Term(term));
-        (UpstreamStatus { paused, ..status }, age)
-    };
-    Contact {
-        status: contact.status.map(pause),
-        ..contact
-    }
-}
-
-/// Returns a failover that has asked u1 to pause, and is about to promote u2 at a working primary's place.
-fn pausing_the_others() -> Failover {
-    let primary = name("u0");
-    let contacts = [
-        draining(contact("u0", 100)),
-        contact("u1", 100),
-        contact("u2", 100),
-    ];
-    let mut failover = with_token(&primary, &contacts, 7);
-    failover.set_sync_replicas(1);
-    failover.tick(Some(&primary), &contacts, at(0));
-    let next = failover.tick(Some(&primary), &contacts, at(100));
-    assert_eq!(next, Some(Action::Pause(Term(2), vec![name("u1")])));
-    failover
-}
-
-/// Guards against a commit that only the other replica has received when the promotion takes effect (LOST).
-#[test]
-fn planned_promotion_waits_until_the_chosen_replica_has_what_the_paused_one_has() {
-    let primary = name("u0");
-    let mut failover = pausing_the_others();
-    let behind = [
-        draining(contact("u0", 103)),
-        paused(contact("u1", 102), 2),
-        contact("u2", 101),
-    ];
-    let next = failover.tick(Some(&primary), &behind, at(200));
-    assert_eq!(next, Some(Action::Pause(Term(2), vec![name("u1")])));
-    let ahead = [
-        draining(contact("u0", 104)),
-        paused(contact("u1", 102), 2),
-        contact("u2", 103),
-    ];
-    let promoted = failover.tick(Some(&primary), &ahead, at(300));
-    assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(7))));
-}
-
-#[test]
-fn planned_promotion_is_put_off_if_the_other_replica_cannot_be_paused() {
-    let primary = name("u0");
-    let mut failover = pausing_the_others();
-    let contacts = [
-        draining(contact("u0", 100)),
-        paused(contact("u1", 100), 1),
-        contact("u2", 100),
-    ];
-    let ticks = (200..700).step_by(50);
-    let actions = ticks.filter_map(|millis| failover.tick(Some(&primary), &contacts, at(millis)));
-    let actions: Vec<Action> = actions.collect();
-    assert_eq!(
-        actions.last(),
-        Some(&Action::Continue(vec![name("u1")])),
-        "it receives again"
-    );
-    assert_eq!(failover.take_unmet(), Some(Unmet::NotPaused));
-    assert!(!actions.iter().any(|a| matches!(a, Action::Promote(..))));
-}
-
-/// A home that ends between the pause and the promotion leaves replicas paused.
-#[test]
-fn replica_that_nobody_promotes_beside_receives_again() {
-    let primary = name("u0");
-    let contacts = [contact("u0", 100), paused(contact("u1", 90), 2)];
-    let mut failover = with_token(&primary, &contacts, 7);
-    let next = failover.tick(Some(&primary), &contacts, at(50));
-    assert_eq!(next, Some(Action::Continue(vec![name("u1")])));
-    assert_eq!(failover.tick(Some(&primary), &contacts, at(100)), None);
-}
-
-#[test]
-fn planned_promotion_of_an_asynchronous_group_pauses_nobody() {
-    let contacts = [
-        draining(contact("u0", 100)),
-        contact("u1", 100),
-        contact("u2", 100),
-    ];
-    let promoted = replaced_primary(&contacts);
-    assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(7))));
-}
