Cut a relayed connection before its first bytes pass

Trace (a scratch copy with logs and the terms noted): the terms were [1, 1, 1] at the kill and [2, 2, 2] 0.3 s later. The steward that was cut off logged swap_retried attempt=1 and attempt=2, each an error from the cut platform, and then record_swapped term=2: its third try had passed the relay. The relay waits for the cut and forwards in one select that polls its branches in any order, so a connection whose bytes are already there could be forwarded in the first poll, before the cut was looked at.

Change: the select looks at the cut first. The stand-in is stricter; no check is changed, and the product is not touched.

--- a/crates/lab/src/relay/link.rs
+++ b/crates/lab/src/relay/link.rs
@@ -67,6 +67,8 @@
 
     async fn serve(&self, stream: TcpStream, source: IpAddr) {
         tokio::select! {
+            // A connection that arrives while its source is cut off must not pass its first bytes.
+            biased;
             () = self.stop.cancelled() => {}
             () = self.wait_until_cut(source) => {}
             result = self.relay(stream, source) => {
