--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -51,12 +51,14 @@
         let shape = Shape {
             service: "huvo11a".to_owned(),
             zones: ["oslo-a", "oslo-b", "hamar"].map(str::to_owned).to_vec(),
-            lags: vec![Duration::from_millis(60); 3],
+            lag: Duration::from_millis(60),
+            lag_spread: 0.6,
             sync_replicas: 0,
             promote_time: Duration::from_secs(1),
             max_connections: 22,
         };
-        let deployment = Deployment::start(root, folder, record, shape)?;
+        let deployment = Deployment::start(root, folder, record, &[shape])?;
+        let group = &deployment.groups[0];
         let told = Arc::new(Mutex::new(Told::default()));
         let sessions: Vec<_> = (0..SESSIONS)
             .map(|number| {
@@ -67,17 +69,17 @@
             .collect();
         std::thread::sleep(DRAIN_AT);
         if trouble {
-            deployment.group.drain(deployment.group.primary());
+            group.drain(group.primary());
         }
         for session in sessions {
             session.join().expect("a session does not panic");
         }
         let told = told.lock().expect("not poisoned");
-        record.note(format!("promotions {}", deployment.group.promotions()));
-        if told.committed.is_empty() || (trouble && deployment.group.promotions() == 0) {
+        record.note(format!("promotions {}", group.promotions()));
+        if told.committed.is_empty() || (trouble && group.promotions() == 0) {
             return Ok(Verdict::NotRun("no transaction committed, or nobody was promoted"));
         }
-        Ok(judge(&told, &deployment.group, record))
+        Ok(judge(&told, group, record))
     });
 }
 
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -9,4 +9,9 @@
 [ -x "$program" ] && [ -x "$root/target/release/mustardbay-vm" ] || { echo "not built"; exit 2; }
 timeout -k 5 100 "$program" "$root" "$place" "$folder"
 status=$?
-case "$status" in 0 | 1 | 2) exit "$status" ;; *) exit 2 ;; esac
+case "$status" in
+  0 | 1 | 2) exit "$status" ;;
+esac
+# The program was ended before it could end the processes that it had started.
+while read -r process; do kill -KILL "$process" 2>/dev/null; done <"$folder/processes"
+exit 2
--- a/review/standins-2/database.rs
+++ b/review/standins-2/database.rs
@@ -43,7 +43,8 @@
     term: u64,
     number: u64,
     writes: Vec<Write1>,
-    at: Instant,
+    /// When each backend receives it, unless a commit before it comes later.
+    arrivals: Vec<Instant>,
 }
 
 /// What a group is like.
@@ -51,8 +52,10 @@
 pub struct Shape {
     pub service: String,
     pub zones: Vec<String>,
-    /// Time after which each backend receives a commit of the primary.
-    pub lags: Vec<Duration>,
+    /// Mean time after which a replica receives a commit of the primary.
+    pub lag: Duration,
+    /// Spread of that time: the standard deviation of its logarithm; 0 if it is always the same.
+    pub lag_spread: f64,
     /// Replicas that have received a commit before it is acknowledged.
     pub sync_replicas: u64,
     /// Time from a promotion call until the named backend leads.
@@ -60,6 +63,23 @@
     pub max_connections: usize,
 }
 
+impl Shape {
+    /// Draws the time until a replica receives a commit, at most six times the mean.
+    fn draw_lag(&self) -> Duration {
+        let normal = (-2.0 * draw().ln()).sqrt() * (std::f64::consts::TAU * draw()).cos();
+        let factor = (self.lag_spread * normal - self.lag_spread.powi(2) / 2.0).exp();
+        self.lag.mul_f64(factor.min(6.0))
+    }
+}
+
+/// Draws a number above 0 and at most 1.
+fn draw() -> f64 {
+    use std::hash::BuildHasher;
+    use std::hash::RandomState;
+    let drawn = RandomState::new().hash_one(Instant::now()) >> 11;
+    (drawn as f64 + 1.0) / (1_u64 << 53) as f64
+}
+
 struct Server {
     id: String,
     address: SocketAddr,
@@ -104,10 +124,11 @@
     pub fn start(shape: Shape, record: Record) -> std::io::Result<Self> {
         let mut listeners = Vec::new();
         let mut servers = Vec::new();
+        let service = &shape.service;
         for index in 0..shape.zones.len() {
             let listener = TcpListener::bind("127.0.0.1:0")?;
             servers.push(Server {
-                id: format!("i-{}{index:07x}", index + 1),
+                id: format!("i-{}-{service}", index + 1),
                 address: listener.local_addr()?,
                 running: true,
                 draining: false,
@@ -116,7 +137,7 @@
                     term: 3,
                     number: 1_200,
                     writes: Vec::new(),
-                    at: Instant::now(),
+                    arrivals: Vec::new(),
                 }],
                 connections: BTreeMap::new(),
             });
@@ -312,7 +333,6 @@
 
     /// Receives the primary's commits on a replica, each after the replica's lag.
     fn replicate(&self, index: usize) {
-        let lag = self.shape.lags[index];
         loop {
             std::thread::sleep(POLL);
             let mut state = self.lock();
@@ -326,7 +346,8 @@
             }
             let have = state.servers[index].log.len();
             let news: Vec<Entry> = state.servers[primary].log.iter().skip(have)
-                .take_while(|entry| entry.at.elapsed() >= lag).cloned().collect();
+                .take_while(|entry| entry.arrivals.get(index).is_none_or(|at| *at <= Instant::now()))
+                .cloned().collect();
             state.servers[index].log.extend(news);
         }
     }
@@ -655,8 +676,9 @@
         let term = state.term;
         let log = &mut state.servers[self.index].log;
         let number = log.last().map_or(0, |entry| entry.number) + 1;
-        let at = Instant::now();
-        log.push(Entry { term, number, writes, at });
+        let servers = 0..self.group.shape.zones.len();
+        let arrivals = servers.map(|_| Instant::now() + self.group.shape.draw_lag()).collect();
+        log.push(Entry { term, number, writes, arrivals });
         let place = log.len() - 1;
         drop(state);
         let needed = self.group.shape.sync_replicas as usize;
@@ -701,12 +723,14 @@
     }
 }
 
-/// Returns a configuration with one service, routes of each kind to it, and one tenant.
-pub fn configuration(version: u64, shape: &Shape, keys: &[&str], rate: u64) -> Json {
-    let route = |host: &str, kind: &str, stale: u64| {
+/// Returns a configuration with services, routes of each kind to each of them, and one tenant.
+///
+/// The routes of the first service are `main`, `own` and `reads`, those of the second `main2` and so on.
+pub fn configuration(version: u64, shapes: &[Shape], keys: &[&str], rate: u64) -> Json {
+    let route = |host: String, kind: &str, stale: u64, shape: &Shape| {
         table([
             ("name", format!("r-{host}").into()),
-            ("host", host.into()),
+            ("host", host.as_str().into()),
             ("prefix", "/".into()),
             ("routeType", kind.into()),
             ("timeoutMs", 800.into()),
@@ -718,23 +742,28 @@
             ("authExempt", false.into()),
         ])
     };
-    let routes = vec![
-        route("main", "primary", 0),
-        route("own", "read_your_writes", 2_500),
-        route("reads", "bounded_staleness", 1_500),
-    ];
-    let keys: Vec<Json> = keys.iter().map(|key| (*key).into()).collect();
-    table([
-        ("version", version.into()),
-        ("routes", routes.into()),
-        ("services", vec![table([
+    let mut routes = Vec::new();
+    for (index, shape) in shapes.iter().enumerate() {
+        let suffix = if index == 0 { String::new() } else { (index + 1).to_string() };
+        routes.push(route(format!("main{suffix}"), "primary", 0, shape));
+        routes.push(route(format!("own{suffix}"), "read_your_writes", 2_500, shape));
+        routes.push(route(format!("reads{suffix}"), "bounded_staleness", 1_500, shape));
+    }
+    let services = shapes.iter().map(|shape| {
+        table([
             ("name", shape.service.as_str().into()),
             ("healthPath", "/health".into()),
             ("maxConns", (shape.max_connections as u64).into()),
             ("protocol", "h1".into()),
             ("tls", false.into()),
             ("syncReplicas", shape.sync_replicas.into()),
-        ])].into()),
+        ])
+    });
+    let keys: Vec<Json> = keys.iter().map(|key| (*key).into()).collect();
+    table([
+        ("version", version.into()),
+        ("routes", routes.into()),
+        ("services", services.collect::<Vec<_>>().into()),
         ("limits", table([("txIdleMs", 3_000.into())])),
         ("tenants", vec![table([
             ("name", "nypu920".into()),
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -1,6 +1,8 @@
 //! Starts the project's program as the deploy file says, one process a machine.
 
+use std::collections::BTreeSet;
 use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -8,6 +10,7 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,6 +20,9 @@
 /// Longest wait until a machine is ready.
 const START_TIME: Duration = Duration::from_secs(20);
 
+/// Ports that were tried already.
+static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
 /// One machine with the project's process.
 pub struct Machine {
     pub name: String,
@@ -83,7 +89,12 @@
         command.env("MUSTARDBAY_NODE_FILE", &machine.settings);
         command.env("MIMALLOC_ALLOW_THP", "0");
         command.stdout(log.try_clone()?).stderr(log);
-        machine.process = Some(command.spawn()?);
+        let process = command.spawn()?;
+        // For the script, should this program be ended before it ends them itself.
+        let list = machine.settings.with_file_name("processes");
+        let mut list = File::options().create(true).append(true).open(list)?;
+        writeln!(list, "{}", process.id())?;
+        machine.process = Some(process);
         Ok(())
     }
 
@@ -136,7 +147,6 @@
 
 fn is_ready(address: SocketAddr) -> bool {
     use std::io::Read;
-    use std::io::Write;
     let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) else {
         return false;
     };
@@ -150,10 +160,25 @@
 }
 
 /// Returns loopback addresses that nothing listens on.
+///
+/// Their ports lie below those that the system gives to outgoing connections, which could take one
+/// before the machine's process listens on it.
 pub fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let listeners: std::io::Result<Vec<_>> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
-    listeners?.iter().map(TcpListener::local_addr).collect()
+    let first = 20_000 + std::process::id() % 600 * 20;
+    let ports = (0..12_000).map(|step| 20_000 + (first - 20_000 + step) % 12_000);
+    let mut listeners = Vec::new();
+    for port in ports {
+        let port = u16::try_from(port).map_err(std::io::Error::other)?;
+        if TAKEN.lock().expect("not poisoned").insert(port)
+            && let Ok(listener) = TcpListener::bind(("127.0.0.1", port))
+        {
+            listeners.push(listener);
+        }
+        if listeners.len() == count {
+            return listeners.iter().map(TcpListener::local_addr).collect();
+        }
+    }
+    Err(std::io::Error::other("no free ports"))
 }
 
 /// Returns the fields of a machine's settings file, with the bounds of the small sites.
--- a/review/standins-2/run.rs
+++ b/review/standins-2/run.rs
@@ -21,9 +21,9 @@
     NotRun(&'static str),
 }
 
-/// Three machines in three zones, the platform's store and one database group.
+/// Three machines in three zones, the platform's store and database groups.
 pub struct Deployment {
-    pub group: Group,
+    pub groups: Vec<Group>,
     pub store: Store,
     pub fleet: Fleet,
 }
@@ -34,22 +34,29 @@
         root: &Path,
         folder: &Path,
         record: &Record,
-        shape: Shape,
+        shapes: &[Shape],
     ) -> Result<Self, std::io::Error> {
-        let group = Group::start(shape.clone(), record.clone())?;
-        let promoted = group.clone();
+        let groups = shapes.iter().map(|shape| Group::start(shape.clone(), record.clone()));
+        let groups = groups.collect::<std::io::Result<Vec<Group>>>()?;
+        let promoted = groups.clone();
         let store = Store::start(record.clone(), move |service, id| {
-            promoted.promote(service, id)
+            let group = promoted.iter().find(|group| group.shape.service == service);
+            group.map_or(404, |group| group.promote(service, id))
         })?;
-        store.put("op/config", &configuration(7, &shape, &["k1", "k2"], 600));
-        group.register(store.clone());
+        store.put("op/config", &configuration(7, shapes, &["k1", "k2"], 600));
+        for group in &groups {
+            group.register(store.clone());
+        }
         let zones = ["oslo-a", "oslo-b", "hamar"];
         let fleet = Fleet::start(root, folder, &zones, store.address)?;
         if !fleet.until_ready() {
+            for index in 0..fleet.machines.len() {
+                record.note(format!("{} logged:\n{}", fleet.machines[index].name, fleet.log(index)));
+            }
             return Err(std::io::Error::other("the machines are not ready in time"));
         }
         std::thread::sleep(std::time::Duration::from_secs(2));
-        Ok(Self { group, store, fleet })
+        Ok(Self { groups, store, fleet })
     }
 }
 
