Review, case 8: an entry that is written late takes a machine out of the fleet for good

Cause: a machine writes its entry without a condition. If the first write after its start gets no answer and is carried out after the second one, the entry hangs on the first lease, which nobody renews, and is never written again.

--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -1,6 +1,7 @@
 //! Stand-in of the platform's metadata store and of its promotion call.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
@@ -51,6 +52,16 @@
     state: Arc<Mutex<State>>,
     promote: Promote,
     record: Record,
+    late: Arc<Mutex<LateWrites>>,
+}
+
+/// Writes whose answers are lost and which are carried out later.
+#[derive(Default)]
+struct LateWrites {
+    /// Prefix of the keys: the first write under each of them is late; `None` if all are answered.
+    prefix: Option<String>,
+    after: Duration,
+    keys: BTreeSet<String>,
 }
 
 impl Store {
@@ -71,6 +82,7 @@
             })),
             promote: Arc::new(promote),
             record,
+            late: Arc::default(),
         };
         let serving = store.clone();
         std::thread::spawn(move || {
@@ -99,6 +111,37 @@
         }
     }
 
+    /// Returns the keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let mut state = self.state.lock().expect("not poisoned");
+        state.end_leases();
+        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
+    /// Loses the answer of the next write of each key under `prefix` and carries the write out later.
+    pub fn delay_next_writes(&self, prefix: &str, after: Duration) {
+        *self.late.lock().expect("not poisoned") = LateWrites {
+            prefix: Some(prefix.to_owned()),
+            after,
+            keys: BTreeSet::new(),
+        };
+    }
+
+    /// Returns after how long a request is carried out without an answer, if it is.
+    fn lateness(&self, target: &str, body: &str) -> Option<Duration> {
+        if !target.ends_with("/kv-txn") {
+            return None;
+        }
+        let mut late = self.late.lock().expect("not poisoned");
+        let prefix = late.prefix.clone()?;
+        let puts = Json::parse(body)?.list("puts");
+        let key = puts.iter().map(|put| put.text("key")).find(|key| key.starts_with(&prefix))?;
+        let first = late.keys.insert(key.clone());
+        self.record.note(format!("store write of {key}: {}", if first { "late" } else { "at once" }));
+        first.then_some(late.after)
+    }
+
     fn serve(&self, stream: TcpStream) {
         let Ok(read) = stream.try_clone() else { return };
         let mut reader = BufReader::new(read);
@@ -107,6 +150,17 @@
             let mut words = line.split(' ');
             let method = words.next().unwrap_or_default().to_owned();
             let target = words.next().unwrap_or_default().to_owned();
+            if let Some(after) = self.lateness(&target, &body) {
+                std::thread::sleep(after);
+                let (status, _) = self.answer(&method, &target, &headers, &body);
+                self.record.note(format!("store late write carried out: {status}"));
+                // Nothing further is returned on this connection.
+                let mut rest = Vec::new();
+                if let Err(e) = reader.read_to_end(&mut rest) {
+                    eprintln!("store: {e}");
+                }
+                return;
+            }
             let (status, reply) = self.answer(&method, &target, &headers, &body);
             let text = reply.map(|reply| reply.to_string()).unwrap_or_default();
             let head = format!(
