--- a/review/standins-2/database.rs
+++ b/review/standins-2/database.rs
@@ -107,6 +107,8 @@
     next_signature: u64,
     runs: BTreeMap<String, Run>,
     promotions: u64,
+    /// Backend of the last promotion call that was accepted.
+    chosen: Option<usize>,
     /// Commits that a promotion rolled back.
     rolled_back: Vec<Write1>,
 }
@@ -153,6 +155,7 @@
                 next_signature: 1,
                 runs: BTreeMap::new(),
                 promotions: 0,
+                chosen: None,
                 rolled_back: Vec::new(),
             })),
             record,
@@ -226,6 +229,11 @@
         self.lock().promotions
     }
 
+    /// Returns the backend of the last promotion call that was accepted.
+    pub fn chosen(&self) -> Option<usize> {
+        self.lock().chosen
+    }
+
     /// Returns the run that a signature belongs to.
     pub fn run_of(&self, signature: &str) -> Option<Run> {
         self.lock().runs.get(signature).cloned()
@@ -281,7 +289,7 @@
 
     /// Takes a promotion call; the backend leads later.
     pub fn promote(&self, service: &str, id: &str) -> u16 {
-        let state = self.lock();
+        let mut state = self.lock();
         let found = state.servers.iter().position(|server| server.id == id);
         let Some(index) = found.filter(|_| service == self.shape.service) else {
             return 404;
@@ -292,6 +300,7 @@
         if state.primary == index {
             return 200;
         }
+        state.chosen = Some(index);
         drop(state);
         let group = self.clone();
         std::thread::spawn(move || {
