--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -83,7 +83,7 @@
     });
 }
 
-/// Runs transactions of two writes, the second through a prepared statement, one after the other.
+/// Runs transactions one after the other: two writes, the second one prepared, or a write and a new value.
 fn run_session(number: usize, entry: SocketAddr, told: &Mutex<Told>, record: &Record) {
     let began = std::time::Instant::now();
     std::thread::sleep(PAUSE * u32::try_from(number).unwrap_or(0) / 12);
@@ -99,7 +99,7 @@
             std::thread::sleep(Duration::from_millis(100));
             continue;
         };
-        let done = run_transaction(open, &format!("{number}-{round}"), told);
+        let done = run_transaction(open, &format!("{number}-{round}"), number % 2 == 1, told);
         if done.is_none() {
             session = None;
         }
@@ -107,24 +107,21 @@
 }
 
 /// Runs one transaction; `None` if the session cannot go on.
-fn run_transaction(session: &mut Session, name: &str, told: &Mutex<Told>) -> Option<()> {
+fn run_transaction(session: &mut Session, name: &str, sets: bool, told: &Mutex<Told>) -> Option<()> {
     let prepared = session.ask(&format!("PREPARE s1 WRITE q{name}"))?;
     prepared.result.ok()?;
     let mut writes = Vec::new();
-    let texts = [
-        "BEGIN".to_owned(),
-        format!("WRITE a{name} first"),
-        format!("EXECUTE s1 b{name} second"),
-        "COMMIT".to_owned(),
-    ];
-    for text in texts {
-        if text.starts_with("EXECUTE") {
+    let third = if sets { format!("SET v1 {name}") } else { format!("EXECUTE s1 b{name} second") };
+    let texts = ["BEGIN".to_owned(), format!("WRITE a{name} first"), third, "COMMIT".to_owned()];
+    for (place, text) in texts.into_iter().enumerate() {
+        if place == 2 {
             std::thread::sleep(PAUSE);
         }
         let answer = session.ask(&text)?;
         let failed = answer.result.is_err();
+        let runs = !text.starts_with("BEGIN") && !text.starts_with("SET");
         let mut told = told.lock().expect("not poisoned");
-        if !failed && text != "BEGIN" {
+        if !failed && runs {
             told.successes.push((text.clone(), answer.clone()));
         }
         if failed {
@@ -134,10 +131,10 @@
             }
             return Some(());
         }
-        match text.as_str() {
-            "BEGIN" => {}
-            "COMMIT" => told.committed.append(&mut writes),
-            _ => writes.push(answer.id),
+        if text == "COMMIT" {
+            told.committed.append(&mut writes);
+        } else if runs {
+            writes.push(answer.id);
         }
     }
     Some(())
