--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -10,10 +10,10 @@
 mod json;
 #[path = "../standins-2/record.rs"]
 mod record;
-#[path = "../standins-2/store.rs"]
-mod store;
 #[path = "../standins-2/run.rs"]
 mod run;
+#[path = "../standins-2/store.rs"]
+mod store;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -78,7 +78,9 @@
         let told = told.lock().expect("not poisoned");
         record.note(format!("promotions {}", group.promotions()));
         if told.committed.is_empty() || (trouble && group.promotions() == 0) {
-            return Ok(Verdict::NotRun("no transaction committed, or nobody was promoted"));
+            return Ok(Verdict::NotRun(
+                "no transaction committed, or nobody was promoted",
+            ));
         }
         Ok(judge(&told, group, record))
     });
@@ -108,12 +110,26 @@
 }
 
 /// Runs one transaction; `None` if the session cannot go on.
-fn run_transaction(session: &mut Session, name: &str, sets: bool, told: &Mutex<Told>) -> Option<()> {
+fn run_transaction(
+    session: &mut Session,
+    name: &str,
+    sets: bool,
+    told: &Mutex<Told>,
+) -> Option<()> {
     let prepared = session.ask(&format!("PREPARE s1 WRITE q{name}"))?;
     prepared.result.ok()?;
     let mut writes = Vec::new();
-    let third = if sets { format!("SET v1 {name}") } else { format!("EXECUTE s1 b{name} second") };
-    let texts = ["BEGIN".to_owned(), format!("WRITE a{name} first"), third, "COMMIT".to_owned()];
+    let third = if sets {
+        format!("SET v1 {name}")
+    } else {
+        format!("EXECUTE s1 b{name} second")
+    };
+    let texts = [
+        "BEGIN".to_owned(),
+        format!("WRITE a{name} first"),
+        third,
+        "COMMIT".to_owned(),
+    ];
     for (place, text) in texts.into_iter().enumerate() {
         if place == 2 {
             std::thread::sleep(PAUSE);
@@ -163,9 +179,18 @@
         }
         if !present.iter().any(|write| write.id == *id) {
             broken += 1;
-            record.note(format!("LOST: write {id} of a committed transaction is in no log"));
+            record.note(format!(
+                "LOST: write {id} of a committed transaction is in no log"
+            ));
         }
     }
-    record.note(format!("successes {} broken {broken}", told.successes.len()));
-    if broken > 0 { Verdict::Broken } else { Verdict::Held }
+    record.note(format!(
+        "successes {} broken {broken}",
+        told.successes.len()
+    ));
+    if broken > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -86,10 +86,18 @@
                     "LOST: write {id} was acknowledged and is not in the log of the backend that was promoted"
                 ));
             }
-            record.note(format!("{} promotions {}", group.shape.service, group.promotions()));
+            record.note(format!(
+                "{} promotions {}",
+                group.shape.service,
+                group.promotions()
+            ));
         }
         record.note(format!("acknowledged {} lost {lost}", acknowledged.len()));
-        Ok(if lost == 0 { Verdict::Held } else { Verdict::Broken })
+        Ok(if lost == 0 {
+            Verdict::Held
+        } else {
+            Verdict::Broken
+        })
     });
 }
 
@@ -114,10 +122,15 @@
         if session.is_none() {
             session = Session::open(entry, route, "k1", &name, record);
         }
-        let answer = session.as_mut().and_then(|s| s.ask(&format!("WRITE a{number} v{round}")));
+        let answer = session
+            .as_mut()
+            .and_then(|s| s.ask(&format!("WRITE a{number} v{round}")));
         match answer {
             Some(answer) if answer.result.is_ok() => {
-                acknowledged.lock().expect("not poisoned").push((group, answer.id));
+                acknowledged
+                    .lock()
+                    .expect("not poisoned")
+                    .push((group, answer.id));
             }
             Some(_) => std::thread::sleep(Duration::from_millis(50)),
             None => session = None,
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -64,17 +64,26 @@
 
     /// Sends a query under a new id and returns its answer; `None` if the connection ended.
     pub fn ask(&mut self, text: &str) -> Option<Answer> {
-        let id = format!("{:016x}", 0x5c0e_0000_u64 + NEXT_ID.fetch_add(1, Ordering::Relaxed));
-        self.record.note(format!("client {} sent {id} {text}", self.name));
+        let id = format!(
+            "{:016x}",
+            0x5c0e_0000_u64 + NEXT_ID.fetch_add(1, Ordering::Relaxed)
+        );
+        self.record
+            .note(format!("client {} sent {id} {text}", self.name));
         let answer = self.exchange(&id, text);
         let shown = match &answer {
             None => "no answer".to_owned(),
             Some(a) => match &a.result {
-                Ok(signature) => format!("COMPLETE {signature} rows {} READY {}", shown(&a.rows), a.state),
+                Ok(signature) => format!(
+                    "COMPLETE {signature} rows {} READY {}",
+                    shown(&a.rows),
+                    a.state
+                ),
                 Err(code) => format!("ERROR {code} READY {}", a.state),
             },
         };
-        self.record.note(format!("client {} answered {id} {shown}", self.name));
+        self.record
+            .note(format!("client {} answered {id} {shown}", self.name));
         answer
     }
 
@@ -91,7 +100,12 @@
                 "ERROR" => result = Some(Err(rest.to_owned())),
                 "READY" => {
                     let state = rest.split(' ').next().unwrap_or_default().to_owned();
-                    return Some(Answer { id: id.to_owned(), rows, result: result?, state });
+                    return Some(Answer {
+                        id: id.to_owned(),
+                        rows,
+                        result: result?,
+                        state,
+                    });
                 }
                 _ => return None,
             }
@@ -99,10 +113,10 @@
     }
 }
 
-/// Shows the rows of an answer, or their number if there are several.
+/// Shows the rows of an answer, or their number and length if they are long.
 fn shown(rows: &[String]) -> String {
-    match rows {
-        [] | [_] => format!("{rows:?}"),
-        _ => format!("{} of {} bytes", rows.len(), rows[0].len()),
+    match rows.first() {
+        Some(first) if first.len() > 80 => format!("{} of {} bytes", rows.len(), first.len()),
+        _ => format!("{rows:?}"),
     }
 }
--- a/review/standins-2/database.rs
+++ b/review/standins-2/database.rs
@@ -199,14 +199,21 @@
     fn register_one(&self, store: &Store, index: usize) -> bool {
         let state = self.lock();
         let server = &state.servers[index];
-        let role = if state.primary == index { "primary" } else { "replica" };
+        let role = if state.primary == index {
+            "primary"
+        } else {
+            "replica"
+        };
         let entry = table([
             ("service", self.shape.service.as_str().into()),
             ("address", server.address.to_string().into()),
             ("zone", self.shape.zones[index].as_str().into()),
             ("version", "v1".into()),
             ("slots", 3.into()),
-            ("state", if server.draining { "draining" } else { "ready" }.into()),
+            (
+                "state",
+                if server.draining { "draining" } else { "ready" }.into(),
+            ),
             ("warmupLeftMs", 0.into()),
             ("dbRole", role.into()),
             ("seq", 4.into()),
@@ -257,7 +264,8 @@
 
     /// Reports that a backend is leaving; it goes on serving.
     pub fn drain(&self, index: usize) {
-        self.record.note(format!("server {} drains", self.id(index)));
+        self.record
+            .note(format!("server {} drains", self.id(index)));
         self.lock().servers[index].draining = true;
     }
 
@@ -287,7 +295,8 @@
         };
         self.lock().servers[index].running = true;
         self.listen(index, listener)?;
-        self.record.note(format!("server {} is back", self.id(index)));
+        self.record
+            .note(format!("server {} is back", self.id(index)));
         Ok(())
     }
 
@@ -339,9 +348,15 @@
                 state.rolled_back.push(write);
             }
         }
-        let (id, term, lost) = (state.servers[index].id.clone(), state.term, state.rolled_back.len());
+        let (id, term, lost) = (
+            state.servers[index].id.clone(),
+            state.term,
+            state.rolled_back.len(),
+        );
         drop(state);
-        self.record.note(format!("server {id} leads term {term}; {lost} writes rolled back so far"));
+        self.record.note(format!(
+            "server {id} leads term {term}; {lost} writes rolled back so far"
+        ));
     }
 
     /// Receives the primary's commits on a replica, each after the replica's lag.
@@ -358,9 +373,18 @@
                 continue;
             }
             let have = state.servers[index].log.len();
-            let news: Vec<Entry> = state.servers[primary].log.iter().skip(have)
-                .take_while(|entry| entry.arrivals.get(index).is_none_or(|at| *at <= Instant::now()))
-                .cloned().collect();
+            let news: Vec<Entry> = state.servers[primary]
+                .log
+                .iter()
+                .skip(have)
+                .take_while(|entry| {
+                    entry
+                        .arrivals
+                        .get(index)
+                        .is_none_or(|at| *at <= Instant::now())
+                })
+                .cloned()
+                .collect();
             state.servers[index].log.extend(news);
         }
     }
@@ -438,7 +462,9 @@
 
 impl Connection {
     fn talk(&mut self, mut reader: BufReader<TcpStream>, mut stream: TcpStream) {
-        let Some(start) = read_line(&mut reader) else { return };
+        let Some(start) = read_line(&mut reader) else {
+            return;
+        };
         std::thread::sleep(HANDSHAKE);
         if let Some(error) = self.start(&start) {
             send(&mut stream, &format!("ERROR {error}\r\n"));
@@ -448,9 +474,13 @@
             return;
         }
         while let Some(line) = read_line(&mut reader) {
-            let Some(query) = line.strip_prefix("QUERY ") else { return };
+            let Some(query) = line.strip_prefix("QUERY ") else {
+                return;
+            };
             let (id, text) = query.split_once(' ').unwrap_or((query, ""));
-            let Some(outcome) = self.run(id, text) else { return };
+            let Some(outcome) = self.run(id, text) else {
+                return;
+            };
             let mut reply = String::new();
             match &outcome {
                 Ok((rows, signature)) => {
@@ -475,7 +505,10 @@
                 let result = outcome.as_ref().map(|_| "done").unwrap_or_else(|code| code);
                 self.group.record.note(format!(
                     "server {} connection {} {} ran {id} {text}: {result} {state}",
-                    self.group.id(self.index), self.number, self.account));
+                    self.group.id(self.index),
+                    self.number,
+                    self.account
+                ));
             }
             if !send(&mut stream, &reply) {
                 return;
@@ -487,7 +520,9 @@
         let fields: Vec<&str> = line.split(' ').collect();
         let state = self.group.lock();
         let server = &state.servers[self.index];
-        if fields.first() != Some(&"START") || fields.get(1) != Some(&self.group.shape.service.as_str()) {
+        if fields.first() != Some(&"START")
+            || fields.get(1) != Some(&self.group.shape.service.as_str())
+        {
             return Some("MISROUTED");
         }
         if fields.get(3).is_some_and(|id| *id != server.id) {
@@ -503,7 +538,10 @@
     fn position(&self) -> String {
         let state = self.group.lock();
         let server = &state.servers[self.index];
-        server.log.last().map_or("-".to_owned(), |e| format!("{}.{}", e.term, e.number))
+        server
+            .log
+            .last()
+            .map_or("-".to_owned(), |e| format!("{}.{}", e.term, e.number))
     }
 
     /// Runs a statement; `None` closes the connection without an answer.
@@ -516,7 +554,8 @@
         if self.failed && word != "COMMIT" && word != "ROLLBACK" {
             return Some(Err("MALFORMED"));
         }
-        if self.has_lost_lead() && !(word == "COMMIT" && self.wrote_nothing()) && word != "ROLLBACK" {
+        if self.has_lost_lead() && !(word == "COMMIT" && self.wrote_nothing()) && word != "ROLLBACK"
+        {
             if word == "COMMIT" {
                 self.end();
             }
@@ -587,10 +626,20 @@
     fn status(&self) -> String {
         let state = self.group.lock();
         let server = &state.servers[self.index];
-        let role = if state.primary == self.index { "primary" } else { "replica" };
-        let last = server.log.last().map_or("-".to_owned(), |e| format!("{}.{}", e.term, e.number));
+        let role = if state.primary == self.index {
+            "primary"
+        } else {
+            "replica"
+        };
+        let last = server
+            .log
+            .last()
+            .map_or("-".to_owned(), |e| format!("{}.{}", e.term, e.number));
         let connections = server.connections.len();
-        format!("{role} {} {last} {} 0 1 {connections}", state.term, server.paused)
+        format!(
+            "{role} {} {last} {} 0 1 {connections}",
+            state.term, server.paused
+        )
     }
 
     fn is_primary(&self) -> bool {
@@ -600,11 +649,15 @@
     fn has_lost_lead(&self) -> bool {
         let state = self.group.lock();
         let leads = |t: &Transaction| state.primary == self.index && state.term == t.term;
-        self.transaction.as_ref().is_some_and(|t| !t.reads && !leads(t))
+        self.transaction
+            .as_ref()
+            .is_some_and(|t| !t.reads && !leads(t))
     }
 
     fn wrote_nothing(&self) -> bool {
-        self.transaction.as_ref().is_none_or(|t| t.writes.is_empty())
+        self.transaction
+            .as_ref()
+            .is_none_or(|t| t.writes.is_empty())
     }
 
     fn holds(&self, after: &str) -> bool {
@@ -623,7 +676,11 @@
             return Err("READONLY");
         }
         let term = self.group.lock().term;
-        self.transaction = Some(Transaction { reads, term, writes: Vec::new() });
+        self.transaction = Some(Transaction {
+            reads,
+            term,
+            writes: Vec::new(),
+        });
         Ok((Vec::new(), None))
     }
 
@@ -694,20 +751,32 @@
         let log = &mut state.servers[self.index].log;
         let number = log.last().map_or(0, |entry| entry.number) + 1;
         let servers = 0..self.group.shape.zones.len();
-        let arrivals = servers.map(|_| Instant::now() + self.group.shape.draw_lag()).collect();
-        log.push(Entry { term, number, writes, arrivals });
+        let arrivals = servers
+            .map(|_| Instant::now() + self.group.shape.draw_lag())
+            .collect();
+        log.push(Entry {
+            term,
+            number,
+            writes,
+            arrivals,
+        });
         let place = log.len() - 1;
         drop(state);
         let needed = self.group.shape.sync_replicas as usize;
         loop {
             let state = self.group.lock();
             let is_it = |log: &[Entry]| {
-                log.get(place).is_some_and(|entry| (entry.term, entry.number) == (term, number))
+                log.get(place)
+                    .is_some_and(|entry| (entry.term, entry.number) == (term, number))
             };
             if !is_it(&state.servers[self.index].log) || !state.servers[self.index].running {
                 return None;
             }
-            let others = state.servers.iter().enumerate().filter(|(i, _)| *i != self.index);
+            let others = state
+                .servers
+                .iter()
+                .enumerate()
+                .filter(|(i, _)| *i != self.index);
             if others.filter(|(_, server)| is_it(&server.log)).count() >= needed {
                 return Some(true);
             }
@@ -721,7 +790,11 @@
         let server = state.servers[self.index].id.clone();
         let signature = format!("{}.{:x}", self.index + 1, state.next_signature);
         state.next_signature += 1;
-        let run = Run { server, id: id.to_owned(), text: text.to_owned() };
+        let run = Run {
+            server,
+            id: id.to_owned(),
+            text: text.to_owned(),
+        };
         state.runs.insert(signature.clone(), run);
         signature
     }
@@ -761,10 +834,24 @@
     };
     let mut routes = Vec::new();
     for (index, shape) in shapes.iter().enumerate() {
-        let suffix = if index == 0 { String::new() } else { (index + 1).to_string() };
+        let suffix = if index == 0 {
+            String::new()
+        } else {
+            (index + 1).to_string()
+        };
         routes.push(route(format!("main{suffix}"), "primary", 0, shape));
-        routes.push(route(format!("own{suffix}"), "read_your_writes", 2_500, shape));
-        routes.push(route(format!("reads{suffix}"), "bounded_staleness", 1_500, shape));
+        routes.push(route(
+            format!("own{suffix}"),
+            "read_your_writes",
+            2_500,
+            shape,
+        ));
+        routes.push(route(
+            format!("reads{suffix}"),
+            "bounded_staleness",
+            1_500,
+            shape,
+        ));
     }
     let services = shapes.iter().map(|shape| {
         table([
@@ -782,12 +869,16 @@
         ("routes", routes.into()),
         ("services", services.collect::<Vec<_>>().into()),
         ("limits", table([("txIdleMs", 3_000.into())])),
-        ("tenants", vec![table([
-            ("name", "nypu920".into()),
-            ("apiKeys", keys.into()),
-            ("priority", 1.into()),
-            ("ratePerS", rate.into()),
-            ("burst", rate.into()),
-        ])].into()),
+        (
+            "tenants",
+            vec![table([
+                ("name", "nypu920".into()),
+                ("apiKeys", keys.into()),
+                ("priority", 1.into()),
+                ("ratePerS", rate.into()),
+                ("burst", rate.into()),
+            ])]
+            .into(),
+        ),
     ])
 }
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -78,7 +78,10 @@
     /// Starts a machine's process with the command and variables of the deploy file.
     pub fn start_process(&mut self, index: usize) -> std::io::Result<()> {
         let machine = &mut self.machines[index];
-        let log = File::options().create(true).append(true).open(&machine.log)?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&machine.log)?;
         let deploy = std::fs::read_to_string(self.root.join("deploy/system.toml"))?;
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = "));
         let run = run.unwrap_or_default().trim().trim_matches('"');
@@ -112,7 +115,9 @@
 
     /// Sends a signal to a machine's process.
     pub fn signal(&self, index: usize, signal: &str) {
-        let Some(process) = &self.machines[index].process else { return };
+        let Some(process) = &self.machines[index].process else {
+            return;
+        };
         let id = process.id().to_string();
         let sent = Command::new("kill").args([signal, &id]).status();
         if !sent.is_ok_and(|status| status.success()) {
@@ -191,37 +196,46 @@
 }
 
 /// Returns the fields of a machine's settings file, with the bounds of the small sites.
-fn fields(
-    name: &str,
-    zone: &str,
-    zones: &[&str],
-    ports: &[SocketAddr],
-    store: SocketAddr,
-) -> Json {
+fn fields(name: &str, zone: &str, zones: &[&str], ports: &[SocketAddr], store: SocketAddr) -> Json {
     let text = |address: SocketAddr| Json::from(address.to_string());
-    let regions = zones.iter().map(|zone| ((*zone).to_owned(), "norge-ost".into()));
+    let regions = zones
+        .iter()
+        .map(|zone| ((*zone).to_owned(), "norge-ost".into()));
     table([
         ("nodeName", name.into()),
         ("zone", zone.into()),
         ("ip", "127.0.0.1".into()),
-        ("listen", table([("frontend", text(ports[0])), ("readiness", text(ports[1]))])),
-        ("internalPorts", vec![
-            u64::from(ports[2].port()).into(),
-            u64::from(ports[3].port()).into(),
-        ].into()),
+        (
+            "listen",
+            table([("frontend", text(ports[0])), ("readiness", text(ports[1]))]),
+        ),
+        (
+            "internalPorts",
+            vec![
+                u64::from(ports[2].port()).into(),
+                u64::from(ports[3].port()).into(),
+            ]
+            .into(),
+        ),
         ("platform", table([("address", text(store))])),
         ("cloudApi", table([("address", text(store))])),
-        ("bounds", table([
-            ("revokeMs", 5_000.into()),
-            ("graceS", 6.into()),
-            ("quotaWindowS", 5.into()),
-        ])),
+        (
+            "bounds",
+            table([
+                ("revokeMs", 5_000.into()),
+                ("graceS", 6.into()),
+                ("quotaWindowS", 5.into()),
+            ]),
+        ),
         ("zones", Json::Table(regions.collect())),
-        ("limits", table([
-            ("cpuShare", Json::Number(0.25)),
-            ("memoryMb", 260.into()),
-            ("maxFds", 4_300.into()),
-        ])),
+        (
+            "limits",
+            table([
+                ("cpuShare", Json::Number(0.25)),
+                ("memoryMb", 260.into()),
+                ("maxFds", 4_300.into()),
+            ]),
+        ),
     ])
 }
 
@@ -244,7 +258,11 @@
         Some(path) => (path, true),
         None => (tag, false),
     };
-    let value = if path == "." { Some(scope.clone()) } else { find(path) };
+    let value = if path == "." {
+        Some(scope.clone())
+    } else {
+        find(path)
+    };
     let shown = match value {
         Some(Json::Text(text)) if !json => text,
         Some(value) => value.to_string(),
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -90,7 +90,11 @@
 /// Builds a table from names and values.
 pub fn table<const N: usize>(fields: [(&str, Json); N]) -> Json {
     let fields = fields.into_iter();
-    Json::Table(fields.map(|(name, value)| (name.to_owned(), value)).collect())
+    Json::Table(
+        fields
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect(),
+    )
 }
 
 impl fmt::Display for Json {
--- a/review/standins-2/run.rs
+++ b/review/standins-2/run.rs
@@ -36,7 +36,9 @@
         record: &Record,
         shapes: &[Shape],
     ) -> Result<Self, std::io::Error> {
-        let groups = shapes.iter().map(|shape| Group::start(shape.clone(), record.clone()));
+        let groups = shapes
+            .iter()
+            .map(|shape| Group::start(shape.clone(), record.clone()));
         let groups = groups.collect::<std::io::Result<Vec<Group>>>()?;
         let promoted = groups.clone();
         let store = Store::start(record.clone(), move |service, id| {
@@ -51,19 +53,25 @@
         let fleet = Fleet::start(root, folder, &zones, store.address)?;
         if !fleet.until_ready() {
             for index in 0..fleet.machines.len() {
-                record.note(format!("{} logged:\n{}", fleet.machines[index].name, fleet.log(index)));
+                record.note(format!(
+                    "{} logged:\n{}",
+                    fleet.machines[index].name,
+                    fleet.log(index)
+                ));
             }
             return Err(std::io::Error::other("the machines are not ready in time"));
         }
         std::thread::sleep(std::time::Duration::from_secs(2));
-        Ok(Self { groups, store, fleet })
+        Ok(Self {
+            groups,
+            store,
+            fleet,
+        })
     }
 }
 
 /// Runs a case in the repository `$1` with the record in the folder `$2` and other files in `$3`.
-pub fn main(
-    case: impl FnOnce(&Path, &Path, &Record, bool) -> Result<Verdict, std::io::Error>,
-) {
+pub fn main(case: impl FnOnce(&Path, &Path, &Record, bool) -> Result<Verdict, std::io::Error>) {
     let paths: Vec<PathBuf> = std::env::args_os().skip(1).map(PathBuf::from).collect();
     let [root, place, folder] = paths.as_slice() else {
         eprintln!("usage: case REPOSITORY CASE-FOLDER TEMPORARY-FOLDER");
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -136,9 +136,15 @@
         let mut late = self.late.lock().expect("not poisoned");
         let prefix = late.prefix.clone()?;
         let puts = Json::parse(body)?.list("puts");
-        let key = puts.iter().map(|put| put.text("key")).find(|key| key.starts_with(&prefix))?;
+        let key = puts
+            .iter()
+            .map(|put| put.text("key"))
+            .find(|key| key.starts_with(&prefix))?;
         let first = late.keys.insert(key.clone());
-        self.record.note(format!("store write of {key}: {}", if first { "late" } else { "at once" }));
+        self.record.note(format!(
+            "store write of {key}: {}",
+            if first { "late" } else { "at once" }
+        ));
         first.then_some(late.after)
     }
 
@@ -153,7 +159,8 @@
             if let Some(after) = self.lateness(&target, &body) {
                 std::thread::sleep(after);
                 let (status, _) = self.answer(&method, &target, &headers, &body);
-                self.record.note(format!("store late write carried out: {status}"));
+                self.record
+                    .note(format!("store late write carried out: {status}"));
                 // Nothing further is returned on this connection.
                 let mut rest = Vec::new();
                 if let Err(e) = reader.read_to_end(&mut rest) {
@@ -214,7 +221,11 @@
         let old = token < *seen;
         *seen = (*seen).max(token);
         drop(state);
-        let status = if old { 409 } else { (self.promote)(&service, &id) };
+        let status = if old {
+            409
+        } else {
+            (self.promote)(&service, &id)
+        };
         let holder = header("lease-holder");
         self.record.note(format!(
             "platform promote {service} {id} by {holder} token {token}: {status}"
@@ -291,11 +302,17 @@
         });
         if !holds {
             let items = expected.iter().map(|row| self.item(&row.text("key")));
-            return (412, Some(table([("items", items.collect::<Vec<_>>().into())])));
+            return (
+                412,
+                Some(table([("items", items.collect::<Vec<_>>().into())])),
+            );
         }
         let puts = body.list("puts");
         let leases = puts.iter().map(|put| put.number("lease"));
-        if leases.clone().any(|lease| lease != 0 && !self.leases.contains_key(&lease)) {
+        if leases
+            .clone()
+            .any(|lease| lease != 0 && !self.leases.contains_key(&lease))
+        {
             return (404, None);
         }
         for put in &puts {
@@ -351,7 +368,11 @@
     let length = headers.get("content-length").and_then(|v| v.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body).ok()?;
-    Some((first.trim_end().to_owned(), headers, String::from_utf8(body).ok()?))
+    Some((
+        first.trim_end().to_owned(),
+        headers,
+        String::from_utf8(body).ok()?,
+    ))
 }
 
 fn unescape(text: &str) -> String {
