--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -50,7 +50,10 @@
     run::main(|root, folder, record, trouble| {
         let shape = Shape {
             service: "huvo11a".to_owned(),
-            zones: ["oslo-a", "oslo-b", "hamar"].map(str::to_owned).to_vec(),
+            // The last one has started to replace the primary.
+            zones: ["oslo-a", "oslo-b", "hamar", "oslo-a"]
+                .map(str::to_owned)
+                .to_vec(),
             lag: Duration::from_millis(60),
             lag_spread: 0.6,
             sync_replicas: 0,
