Abort a transaction whose later statement has its setup refused, and never run a unit from its start again

Callers saw: a transaction waits while its primary is replaced; its next statement needs a SET or PREPARE first. The client got success for that statement, or for the COMMIT, with the signature of a second run of the transaction's first statement.

Cause: the old primary refuses the SET or PREPARE with READONLY; Pool::setup_answered queued every unit whose setup was refused, and a queued unit runs its first statement.

Change: the stage of a unit tells a first statement from a later one, is private to its module, and has no way from an open transaction back to the queue; every failed attempt goes through one decision (PendingUnit::fail_attempt). Such a transaction is told as ABORTED and its connection is closed, so nothing of it is kept. mustardbay_interruptions_total counts aborted and doubtful statements by reason.

--- a/crates/proxy/src/pool/connection_loss.rs
+++ b/crates/proxy/src/pool/connection_loss.rs
@@ -1,4 +1,4 @@
-//! Handling of units whose connection was lost, and retries.
+//! Handling of lost connections and failed attempts: retry, abort or doubt.
 
 use mustardbay_policy::names::UpstreamName;
 
@@ -8,7 +8,9 @@
 use crate::pool::output::Note;
 use crate::pool::output::Output;
 use crate::pool::output::RetryReason;
-use crate::pool::pending_unit::UnitStage;
+use crate::pool::pending_unit::Consequence;
+use crate::pool::pending_unit::Execution;
+use crate::pool::pending_unit::Rank;
 use crate::pool::refusal::Cause;
 use crate::pool::refusal::Outcome;
 use crate::pool::refusal::Refusal;
@@ -56,43 +58,56 @@
         in_flight: Option<Purpose>,
         reason: RetryReason,
         now: BootInstant,
+    ) {
+        let execution = if in_flight == Some(Purpose::Run) {
+            Execution::MayHaveRun
+        } else {
+            Execution::NotRun
+        };
+        self.attempt_failed(unit_id, name, execution, reason, now);
+    }
+
+    /// Handles a unit whose attempt at an upstream ended without an answer for its session.
+    pub(super) fn attempt_failed(
+        &mut self,
+        unit_id: UnitId,
+        name: &UpstreamName,
+        execution: Execution,
+        reason: RetryReason,
+        now: BootInstant,
     ) {
         let Some(pending) = self.units.get_mut(&unit_id) else {
             return;
         };
-        let is_first = !pending.resumed;
-        let sent = in_flight == Some(Purpose::Run);
-        let awaits_answer = matches!(pending.stage, UnitStage::Running(_));
-        if is_first && awaits_answer && (!sent || pending.unit.is_idempotent()) {
-            self.retry(unit_id, name, reason, now);
-            return;
-        }
-        if !awaits_answer {
-            pending.stage = UnitStage::ConnectionLost;
-            return;
-        }
-        let no_effect = !sent || pending.leaves_no_effect();
+        let (outcome, in_doubt) = match pending.fail_attempt(execution) {
+            Consequence::Repeat(rank) => {
+                self.retry(unit_id, rank, name, reason, now);
+                return;
+            }
+            Consequence::TellLater => return,
+            Consequence::Abort => (aborted("the transaction's connection is gone"), false),
+            Consequence::InDoubt => {
+                let text = "the connection broke before the answer came";
+                (Outcome::in_doubt(text), true)
+            }
+        };
         self.outputs.push(Output::Note(Note::Interrupted {
             unit_id,
             request: pending.statement.id.clone(),
             upstream: name.clone(),
             reason,
-            in_doubt: !no_effect,
+            in_doubt,
         }));
         self.resumed.retain(|other| *other != unit_id);
         self.units.remove(&unit_id);
-        let outcome = if no_effect {
-            aborted("the transaction's connection broke")
-        } else {
-            Outcome::in_doubt("the connection broke before the answer came")
-        };
         self.finish(unit_id, outcome);
     }
 
-    /// Queues a unit again for another upstream, or refuses it after too many attempts or too late.
-    pub(super) fn retry(
+    /// Queues a unit under its rank for another upstream, or refuses it after too many attempts or too late.
+    fn retry(
         &mut self,
         unit_id: UnitId,
+        rank: Rank,
         name: &UpstreamName,
         reason: RetryReason,
         now: BootInstant,
@@ -108,7 +123,6 @@
         if !pending.tried.contains(name) {
             pending.tried.push(name.clone());
         }
-        pending.stage = UnitStage::Waiting;
         let exhausted = pending.attempts >= MAX_ATTEMPTS || now >= pending.deadline;
         if exhausted {
             if let Some(pending) = self.units.remove(&unit_id) {
@@ -120,7 +134,7 @@
         if pending.tried.len() >= self.upstreams.len() {
             pending.tried.clear();
         }
-        self.waiting.insert(pending.rank, unit_id);
+        self.waiting.insert(rank, unit_id);
         self.outputs.push(Output::Note(Note::Retried {
             unit_id,
             request,
--- a/crates/proxy/src/pool/dispatch.rs
+++ b/crates/proxy/src/pool/dispatch.rs
@@ -70,7 +70,7 @@
             let Some(pending) = self.units.get(&unit_id) else {
                 continue;
             };
-            let UnitStage::Running(id) = pending.stage else {
+            let UnitStage::Continuing(id) = pending.stage() else {
                 continue;
             };
             let Some(connection) = self.connections.get(&id) else {
@@ -132,7 +132,7 @@
         };
         match plan {
             ConnectionPlan::Use(id) => {
-                pending.stage = UnitStage::Running(id);
+                pending.start(id);
                 if let Some(connection) = self.connections.get_mut(&id) {
                     connection.unit_id = Some(unit_id);
                     loads.entry(connection.upstream.clone()).or_default().busy += 1;
@@ -150,7 +150,7 @@
                 if let Some(id) = self.open(&upstream, account, Some(unit_id), now)
                     && let Some(pending) = self.units.get_mut(&unit_id)
                 {
-                    pending.stage = UnitStage::Running(id);
+                    pending.start(id);
                 }
             }
         }
--- a/crates/proxy/src/pool/expiry.rs
+++ b/crates/proxy/src/pool/expiry.rs
@@ -119,7 +119,7 @@
 
     /// Tells whether a unit of which nothing was sent but its setup can no longer be answered in time.
     pub(super) fn is_unsent_in_vain(&self, pending: &PendingUnit, now: BootInstant) -> bool {
-        !pending.resumed && !self.can_finish(pending, now)
+        pending.is_unanswered() && !self.can_finish(pending, now)
     }
 
     /// Refuses a unit whose connection is being opened or prepared, and keeps the connection.
@@ -242,7 +242,7 @@
         let Some(pending) = self.units.get(&unit_id) else {
             return;
         };
-        let UnitStage::Running(id) = pending.stage else {
+        let UnitStage::Continuing(id) = pending.stage() else {
             return;
         };
         if self.can_finish(pending, now) {
--- a/crates/proxy/src/pool/output.rs
+++ b/crates/proxy/src/pool/output.rs
@@ -103,15 +103,15 @@
         /// Upstreams of the group, each with its eligibility for the unit.
         candidates: Vec<Candidate>,
     },
-    /// A statement got no answer because its connection ended.
+    /// A statement got no answer of an upstream because its connection ended or what precedes it was refused.
     Interrupted {
         /// The unit.
         unit_id: UnitId,
         /// Id of its statement.
         request: String,
-        /// Upstream that was running it.
+        /// Upstream of its connection.
         upstream: UpstreamName,
-        /// Reason for which the connection ended.
+        /// Reason for which it got none.
         reason: RetryReason,
         /// Whether the statement may have had a lasting effect.
         in_doubt: bool,
@@ -141,3 +141,16 @@
     /// The upstream did not answer in time.
     Silent,
 }
+
+impl RetryReason {
+    /// Returns the name used in metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Evacuated => "evacuated",
+            Self::Refused(code) => code.name(),
+            Self::ConnectionLost => "connection_lost",
+            Self::Silent => "silent",
+        }
+    }
+}
--- a/crates/proxy/src/pool/reply.rs
+++ b/crates/proxy/src/pool/reply.rs
@@ -9,7 +9,7 @@
 use crate::pool::connection::Stage;
 use crate::pool::input::OpenFailure;
 use crate::pool::output::RetryReason;
-use crate::pool::pending_unit::UnitStage;
+use crate::pool::pending_unit::Execution;
 use crate::pool::refusal::Outcome;
 use crate::pool::step::Purpose;
 use crate::pool::step::Step;
@@ -74,7 +74,13 @@
                 OpenFailure::Misrouted => RetryReason::Refused(Code::Misrouted),
                 OpenFailure::Unreachable | OpenFailure::Refused => RetryReason::ConnectionLost,
             };
-            self.retry(unit_id, &connection.upstream, reason, now);
+            self.attempt_failed(
+                unit_id,
+                &connection.upstream,
+                Execution::NotRun,
+                reason,
+                now,
+            );
         }
     }
 
@@ -177,7 +183,8 @@
             self.discard_steps(id, answer.state(), now);
         }
         if let Some(unit_id) = unit_id {
-            self.retry(unit_id, &name, RetryReason::Refused(code), now);
+            let reason = RetryReason::Refused(code);
+            self.attempt_failed(unit_id, &name, Execution::NotRun, reason, now);
         }
     }
 
@@ -258,7 +265,7 @@
             self.close(id, now);
             return;
         };
-        let is_first = !pending.resumed;
+        let is_first = pending.is_unanswered();
         let retryable =
             code == Code::Failed && pending.unit.is_idempotent() && pending.attempts < 2;
         let state = answer.state();
@@ -270,7 +277,12 @@
         }
         if (is_first && code.promises_not_run()) || retryable {
             self.discard_steps(id, state, now);
-            self.retry(unit_id, name, RetryReason::Refused(code), now);
+            let execution = if code.promises_not_run() {
+                Execution::NotRun
+            } else {
+                Execution::MayHaveRun
+            };
+            self.attempt_failed(unit_id, name, execution, RetryReason::Refused(code), now);
             return;
         }
         let stays_open = self.units.get(&unit_id).is_some_and(|pending| {
@@ -288,7 +300,7 @@
     /// Reserves a connection for the next statement of its transaction.
     fn pin(&mut self, unit_id: UnitId, id: ConnectionId, now: BootInstant) {
         if let Some(pending) = self.units.get_mut(&unit_id) {
-            pending.stage = UnitStage::Pinned(id);
+            pending.pin(id);
         }
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.stage = Stage::Pinned;
--- a/crates/proxy/src/pool/steps.rs
+++ b/crates/proxy/src/pool/steps.rs
@@ -47,8 +47,11 @@
         let Some(pending) = self.units.get(&unit_id) else {
             return;
         };
-        let need = self.need(&pending.unit, now);
-        let steps = unit_steps(&pending.unit, need);
+        let Some(unit) = pending.to_start() else {
+            return;
+        };
+        let need = self.need(unit, now);
+        let steps = unit_steps(unit, need);
         let settings = pending.settings.clone();
         let prepared = pending.statement.prepared.clone();
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/crates/proxy/src/pool/submit.rs
+++ b/crates/proxy/src/pool/submit.rs
@@ -33,21 +33,7 @@
             }
         };
         self.next_arrival += 1;
-        let pending = PendingUnit {
-            rank,
-            stage: UnitStage::Waiting,
-            deadline: now.after(unit.left()),
-            arrived: now,
-            travel,
-            tried: Vec::new(),
-            attempts: 0,
-            wrote: false,
-            resumed: false,
-            statement: unit.statement.clone(),
-            settings: unit.settings.clone(),
-            released: false,
-            unit,
-        };
+        let pending = PendingUnit::new(unit, rank, travel, now);
         self.waiting.insert(rank, unit_id);
         self.units.insert(unit_id, pending);
     }
@@ -66,24 +52,18 @@
             self.finish(unit_id, aborted("the transaction's connection is gone"));
             return;
         };
-        let UnitStage::Pinned(id) = pending.stage else {
+        if !pending.resume(statement, settings, deadline, now) {
             self.finish(unit_id, aborted("the transaction has no connection"));
             return;
-        };
-        pending.statement = statement;
-        pending.resumed = true;
-        pending.settings = settings;
-        pending.deadline = deadline;
+        }
         pending.travel = travel;
-        pending.arrived = now;
-        pending.stage = UnitStage::Running(id);
         self.resumed.push_back(unit_id);
     }
 
     /// Returns the round trip to the upstream on which a unit's transaction is open.
     fn round_trip_of(&self, unit_id: UnitId) -> Duration {
         let pending = self.units.get(&unit_id);
-        let connection = pending.and_then(|pending| match pending.stage {
+        let connection = pending.and_then(|pending| match pending.stage() {
             UnitStage::Pinned(id) => self.connections.get(&id),
             _ => None,
         });
@@ -96,17 +76,17 @@
         let Some(pending) = self.units.get_mut(&unit_id) else {
             return;
         };
-        match pending.stage {
+        match pending.stage() {
             UnitStage::Waiting => {
                 self.waiting.remove(&pending.rank);
                 self.units.remove(&unit_id);
             }
-            UnitStage::Running(id) if self.resumed.contains(&unit_id) => {
+            UnitStage::Continuing(id) if self.resumed.contains(&unit_id) => {
                 self.resumed.retain(|other| *other != unit_id);
                 self.units.remove(&unit_id);
                 self.roll_back(id, now);
             }
-            UnitStage::Running(_) => pending.released = true,
+            UnitStage::Starting(_) | UnitStage::Continuing(_) => pending.released = true,
             UnitStage::Pinned(id) => {
                 self.units.remove(&unit_id);
                 self.roll_back(id, now);
--- a/crates/proxy/src/pool/tick.rs
+++ b/crates/proxy/src/pool/tick.rs
@@ -32,7 +32,7 @@
         let pinned = self
             .units
             .iter()
-            .filter_map(|(id, pending)| match pending.stage {
+            .filter_map(|(id, pending)| match pending.stage() {
                 UnitStage::Pinned(connection) => Some((*id, connection)),
                 _ => None,
             });
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -274,6 +274,7 @@
                 reason,
                 in_doubt,
             } => {
+                self.vm_metrics.interrupted(reason.name(), *in_doubt);
                 tracing::info!(event = "unit_interrupted", group = %group, request = %request,
                     ticket = %unit_id, upstream = %upstream, reason = ?reason, in_doubt);
             }
--- a/crates/proxy/src/vm_metrics.rs
+++ b/crates/proxy/src/vm_metrics.rs
@@ -51,6 +51,7 @@
     refusals: Counter<u64>,
     limits: Counter<u64>,
     retries: Counter<u64>,
+    interruptions: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     latency: Histogram<f64>,
@@ -73,6 +74,7 @@
             refusals: meter.u64_counter("mustardbay_refusals").build(),
             limits: meter.u64_counter("mustardbay_limits_met").build(),
             retries: meter.u64_counter("mustardbay_retries").build(),
+            interruptions: meter.u64_counter("mustardbay_interruptions").build(),
             connections: meter.u64_counter("mustardbay_connections_opened").build(),
             store_calls: meter.u64_counter("mustardbay_store_calls").build(),
             latency: seconds("mustardbay_statement"),
@@ -194,6 +196,15 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts a statement that was aborted or is in doubt because its connection ended.
+    pub fn interrupted(&self, reason: &'static str, in_doubt: bool) {
+        let labels = [
+            KeyValue::new("reason", reason),
+            KeyValue::new("in_doubt", in_doubt),
+        ];
+        self.interruptions.add(1, &labels);
+    }
+
     /// Counts a new connection to an upstream.
     pub fn connection_opened(&self) {
         self.connections.add(1, &[]);
--- a/crates/proxy/tests/pool.rs
+++ b/crates/proxy/tests/pool.rs
@@ -22,6 +22,8 @@
 mod sessions;
 #[path = "pool/simulation.rs"]
 mod simulation;
+#[path = "pool/transactions.rs"]
+mod transactions;
 #[path = "pool/units.rs"]
 mod units;
 #[path = "pool/waiting.rs"]
--- a/crates/proxy/tests/pool/fake_upstream.rs
+++ b/crates/proxy/tests/pool/fake_upstream.rs
@@ -54,6 +54,8 @@
     pub slowdown: u32,
     /// Load that it reports with its status.
     pub load: Option<LoadReport>,
+    /// Code with which it refuses all but a rollback in open transactions, as one that has lost the lead does.
+    pub refuses_open: Option<Code>,
 }
 
 impl FakeUpstream {
@@ -70,6 +72,7 @@
             uneven: false,
             slowdown: 1,
             load: None,
+            refuses_open: None,
         }
     }
 
@@ -118,6 +121,12 @@
             };
             (Answer::failed(code, "refused", state), now)
         };
+        if state != TransactionState::Idle
+            && query.command != Command::Rollback
+            && let Some(code) = self.refuses_open
+        {
+            return refuse(code);
+        }
         if query.after.is_some_and(|floor| !self.applied.covers(floor)) {
             let (mut answer, at) = refuse(Code::Lagging);
             answer.position = Some(self.applied.into());
@@ -144,7 +153,8 @@
             _ => (state, now),
         };
         let answer = Answer {
-            signature: Some("s".to_owned()),
+            // As for a statement of a client, the signature is of that very query.
+            signature: Some(query.id.clone().unwrap_or_default()),
             state: state.into(),
             position: Some(self.applied.into()),
             ..Answer::default()
