Order a promotion only once no commit can be acknowledged without the chosen upstream, and keep it so until the order is over

Callers saw, with syncReplicas 1: a primary crashes and is back before the replica that was ordered to follow it leads.

Cause: the other replicas were paused for a planned replacement only; a lost primary was held to acknowledge nothing more. Evidence: Promote 0.45 s after the crash, upstream_back 0.58 s later, lead_lost 0.42 s after that; the lost writes ran in those 0.42 s.

Change: an order needs a Successor, which is made only if fewer than syncReplicas replicas beside the chosen one receive and none has what it lacks, whether the primary works or is lost. Paused replicas stay paused, and are paused again, while an order may be carried out: its call in flight, accepted, without an answer, or given by the home before this one. A choice ends when another upstream leads meanwhile. replicas_kept_paused and mustardbay_promotion_steps_total show it. failover.rs is split: stages, orders, suspicion and the choice have files of their own.

Tests that expected something else: replica_that_nobody_promotes_beside_receives_again wanted a new home to let replicas receive at once, though the former home's order may be under way; it now demands that they do not before 8 s and do then. replica_that_may_hold_synchronous_commits_is_waited_for expects the pause before the promotion. The tests of planned promotions run 8 s after the claim, from when on a pause may end.

--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -2,10 +2,14 @@
 
 mod action;
 mod failover;
+mod order;
 mod required;
+mod stage;
+mod suspicion;
 
 pub use action::Action;
 pub use action::Event;
 pub use action::FencingToken;
 pub use failover::Failover;
+pub use order::LATE_CALL_TIME;
 pub use required::Unmet;
--- a/crates/proxy/src/group/action.rs
+++ b/crates/proxy/src/group/action.rs
@@ -35,6 +35,19 @@
     Promote(UpstreamName, FencingToken),
 }
 
+impl Action {
+    /// Returns the name used in metrics, if it changes anything at an upstream.
+    #[must_use]
+    pub fn step(&self) -> Option<&'static str> {
+        match self {
+            Self::AskPeers(_) | Self::Claim | Self::AskStatus => None,
+            Self::Pause(..) => Some("pause"),
+            Self::Continue(_) => Some("continue"),
+            Self::Promote(..) => Some("promote"),
+        }
+    }
+}
+
 /// Result of an action.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Event {
--- a/crates/proxy/src/group/failover.rs
+++ b/crates/proxy/src/group/failover.rs
@@ -1,68 +1,35 @@
 //! Failover from a suspected failure of the primary to the promotion of another upstream.
 
+mod choosing;
+
 use std::time::Duration;
 
 use mustardbay_policy::names::UpstreamName;
-use mustardbay_policy::position::Term;
 
 use crate::clock::BootInstant;
 use crate::group::action::Action;
 use crate::group::action::Event;
 use crate::group::action::FencingToken;
+use crate::group::order::EFFECT_TIME;
+use crate::group::order::OpenOrder;
 use crate::group::required::Required;
 use crate::group::required::Unmet;
-use crate::group::required::is_ahead_of_paused;
-use crate::group::required::newest_term;
-use crate::group::required::others;
+use crate::group::stage::Choice;
+use crate::group::stage::Stage;
+use crate::group::suspicion::has_candidate;
+use crate::group::suspicion::is_suspect;
+use crate::group::suspicion::needs_failover;
 use crate::pool::Contact;
 
-/// Time for which a primary must have been failing before other vms are asked: longer than a statement.
-const SUSPECT_AFTER: Duration = Duration::from_millis(300);
 /// Time without a known primary after which an upstream is promoted.
 const NO_PRIMARY_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time to collect statuses before the new primary is chosen, and between two requests for them.
 const STATUS_WAIT: Duration = Duration::from_millis(100);
 /// Time for which statuses are asked for again while none of the upstreams may be chosen.
 const MAX_COLLECT_TIME: Duration = Duration::from_millis(500);
-/// Time to wait until the promoted upstream is seen as primary; then the promotion is tried again.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Delay after a failed action, or after another vm was found to reach the primary.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Stage of a failover.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Stage {
-    /// The primary is monitored; no failover is in progress.
-    Monitoring,
-    /// Other vms were asked about the primary, and every upstream for its status.
-    AskingPeers { since: BootInstant },
-    /// The promotion duty is being claimed.
-    Claiming,
-    /// Statuses are being collected.
-    CollectingStatuses {
-        since: BootInstant,
-        /// When statuses were last requested.
-        asked: BootInstant,
-    },
-    /// The other replicas are being paused, so that no commit is acknowledged without the chosen one.
-    Pausing {
-        chosen: UpstreamName,
-        term: Term,
-        since: BootInstant,
-        /// When this was last requested.
-        asked: BootInstant,
-    },
-    /// The promotion call is in flight.
-    Promoting { chosen: UpstreamName },
-    /// The chosen upstream is expected to become primary.
-    Confirming {
-        chosen: UpstreamName,
-        since: BootInstant,
-        /// When statuses were last requested.
-        asked: BootInstant,
-    },
-}
-
 /// Monitor of one group's primary, run by the vm that is the group's home.
 #[derive(Debug)]
 pub struct Failover {
@@ -82,6 +49,12 @@
     /// Time from which a claim in advance may be tried again.
     claim_after: BootInstant,
     no_primary_since: Option<BootInstant>,
+    /// Until when paused replicas must stay so.
+    order: OpenOrder,
+    /// Whether paused replicas were kept so since the log was last told.
+    kept_paused: bool,
+    /// Primary that the failover in progress is to replace, if one was known.
+    replaced: Option<UpstreamName>,
     /// What the new primary must have received.
     required: Required,
     /// Why the last choice found nobody; taken by the log.
@@ -101,6 +74,9 @@
             retry_after: BootInstant::default(),
             claim_after: BootInstant::default(),
             no_primary_since: None,
+            order: OpenOrder::default(),
+            kept_paused: false,
+            replaced: None,
             required: Required::default(),
             unmet: None,
         }
@@ -116,6 +92,11 @@
         self.unmet.take()
     }
 
+    /// Tells whether paused replicas were kept so because an order may be carried out, once for each time.
+    pub fn take_kept_paused(&mut self) -> bool {
+        std::mem::take(&mut self.kept_paused)
+    }
+
     /// Advances the failover with the current state of the upstreams; returns the next action, if any.
     pub fn tick(
         &mut self,
@@ -126,39 +107,32 @@
         self.update_primary(primary, contacts, now);
         match self.stage.clone() {
             Stage::Monitoring => self.check_primary(primary, contacts, now),
-            Stage::CollectingStatuses { since, asked } if now.since(asked) >= STATUS_WAIT => {
+            Stage::CollectingStatuses { since, asked }
+                if now.since(asked) >= STATUS_WAIT
+                    || self
+                        .required
+                        .has_all_answers(primary, contacts, now.since(asked)) =>
+            {
                 self.choose(primary, contacts, since, now)
             }
-            Stage::Pausing {
-                chosen,
-                term,
-                since,
-                asked,
-            } if now.since(asked) >= STATUS_WAIT => {
-                Some(self.check_paused(chosen, term, since, primary, contacts, now))
-            }
-            Stage::Confirming { since, .. } if now.since(since) >= CONFIRM_TIMEOUT => {
+            Stage::Pausing(choice) => self.check_paused(choice, primary, contacts, now),
+            Stage::Confirming(choice) if now.since(choice.since) >= EFFECT_TIME => {
                 self.stage = Stage::Claiming;
                 Some(Action::Claim)
             }
-            Stage::Confirming {
-                chosen,
-                since,
-                asked,
-            } if now.since(asked) >= STATUS_WAIT => {
-                self.stage = Stage::Confirming {
-                    chosen,
-                    since,
+            Stage::Confirming(choice) if now.since(choice.asked) >= STATUS_WAIT => {
+                let next = self.keep_paused(&choice, primary, contacts, now);
+                self.stage = Stage::Confirming(Choice {
                     asked: now,
-                };
-                Some(Action::AskStatus)
+                    ..choice
+                });
+                Some(next)
             }
             Stage::AskingPeers { .. }
             | Stage::Claiming
             | Stage::CollectingStatuses { .. }
-            | Stage::Pausing { .. }
             | Stage::Promoting { .. }
-            | Stage::Confirming { .. } => None,
+            | Stage::Confirming(_) => None,
         }
     }
 
@@ -168,7 +142,7 @@
         match (self.stage.clone(), event) {
             (Stage::AskingPeers { since }, Event::NoPeerReaches) => self.start_choice_since(since),
             (Stage::Monitoring | Stage::AskingPeers { .. }, Event::Claimed(token)) => {
-                self.store_token(token);
+                self.store_token(token, now);
                 None
             }
             (
@@ -180,24 +154,40 @@
                 None
             }
             (Stage::Claiming, Event::Claimed(token)) => {
-                self.store_token(token);
+                self.store_token(token, now);
                 self.stage = Stage::CollectingStatuses {
                     since: now,
                     asked: now,
                 };
                 Some(Action::AskStatus)
             }
-            (Stage::Promoting { chosen }, Event::Accepted | Event::Unknown) => {
-                self.stage = Stage::Confirming {
+            (
+                Stage::Promoting {
+                    chosen,
+                    term,
+                    before,
+                },
+                Event::Accepted | Event::Unknown,
+            ) => {
+                self.order = match event {
+                    Event::Accepted => before.accepted(now),
+                    _ => before.given(now),
+                };
+                self.stage = Stage::Confirming(Choice {
                     chosen,
+                    term,
                     since: now,
                     asked: now,
-                };
+                });
+                None
+            }
+            (Stage::Promoting { before, .. }, Event::Refused) => {
+                self.order = before;
+                self.back_off(now);
                 None
             }
             (Stage::AskingPeers { .. }, Event::PeerReaches | Event::NoPeerAnswers)
-            | (Stage::Claiming, Event::NotClaimed | Event::ClaimUnanswered)
-            | (Stage::Promoting { .. }, Event::Refused) => {
+            | (Stage::Claiming, Event::NotClaimed | Event::ClaimUnanswered) => {
                 self.back_off(now);
                 None
             }
@@ -209,6 +199,7 @@
     pub fn discard_token(&mut self) {
         self.token = None;
         self.held_token = None;
+        self.order = OpenOrder::OfAnyVm;
     }
 
     /// Returns the token of the last claim, which a vm that is no longer the group's home releases.
@@ -223,7 +214,8 @@
         self.claiming || self.unanswered_claim || self.stage == Stage::Claiming
     }
 
-    fn store_token(&mut self, token: FencingToken) {
+    fn store_token(&mut self, token: FencingToken, now: BootInstant) {
+        self.order.claimed(now);
         self.claiming = false;
         self.unanswered_claim = false;
         self.token = Some(token);
@@ -260,7 +252,7 @@
         self.retry_after = now.after(RETRY_DELAY);
     }
 
-    /// Ends a failover if the promoted upstream is primary, or if the old primary works again.
+    /// Ends a failover if the promoted upstream or another one is primary, or if the old primary works again.
     fn update_primary(
         &mut self,
         primary: Option<&UpstreamName>,
@@ -272,11 +264,20 @@
         } else {
             self.no_primary_since = None;
         }
+        let another_leads = primary.is_some() && primary != self.replaced.as_ref();
         let done = match &self.stage {
-            Stage::Confirming { chosen, .. } => primary == Some(chosen),
+            Stage::Confirming(choice) if primary == Some(&choice.chosen) => {
+                self.order.carried_out();
+                true
+            }
             Stage::AskingPeers { .. } => {
                 primary.is_some_and(|name| !needs_failover(name, contacts))
             }
+            Stage::CollectingStatuses { .. } | Stage::Pausing(_) => another_leads,
+            Stage::Claiming if another_leads => {
+                self.claiming = true;
+                true
+            }
             _ => false,
         };
         if done {
@@ -302,10 +303,12 @@
             if now.since(since) < NO_PRIMARY_TIMEOUT || contacts.is_empty() {
                 return None;
             }
+            self.replaced = None;
             self.required.floor = None;
             return Some(self.start_choice(now));
         };
         let contact = contacts.iter().find(|c| c.registration.name == *primary)?;
+        self.replaced = Some(primary.clone());
         let suspect = is_suspect(contact);
         self.required.floor = contact
             .position
@@ -316,9 +319,9 @@
         let paused = contacts.iter().filter(|contact| contact.is_paused());
         let paused: Vec<UpstreamName> = paused.map(|c| c.registration.name.clone()).collect();
         if !paused.is_empty() && !suspect {
-            // Nobody is promoted: a home before this one left them paused.
+            // Nobody is promoted any more: this home, or one before it, left them paused.
             self.retry_after = now.after(RETRY_DELAY);
-            return Some(Action::Continue(paused));
+            return self.let_receive(paused, now);
         }
         if suspect {
             self.stage = Stage::AskingPeers { since: now };
@@ -326,85 +329,6 @@
         }
         None
     }
-
-    /// Promotes the upstream with the most advanced log, or puts the choice off.
-    fn choose(
-        &mut self,
-        primary: Option<&UpstreamName>,
-        contacts: &[Contact],
-        since: BootInstant,
-        now: BootInstant,
-    ) -> Option<Action> {
-        let chosen = match self.required.choose(primary, contacts, now.since(since)) {
-            Ok(chosen) => chosen,
-            Err(unmet) => return self.put_off(unmet, since, now),
-        };
-        let others = others(&chosen, primary, contacts);
-        if self.required.keeps_receiving() && !others.is_empty() {
-            let term = newest_term(contacts).next();
-            self.stage = Stage::Pausing {
-                chosen,
-                term,
-                since: now,
-                asked: now,
-            };
-            return Some(Action::Pause(term, others));
-        }
-        Some(self.promote(chosen))
-    }
-
-    /// Promotes the chosen upstream once the others are paused and it has what they have.
-    fn check_paused(
-        &mut self,
-        chosen: UpstreamName,
-        term: Term,
-        since: BootInstant,
-        primary: Option<&UpstreamName>,
-        contacts: &[Contact],
-        now: BootInstant,
-    ) -> Action {
-        if is_ahead_of_paused(&chosen, term, primary, contacts, now.since(since)) {
-            return self.promote(chosen);
-        }
-        let others = others(&chosen, primary, contacts);
-        if now.since(since) >= MAX_COLLECT_TIME {
-            self.unmet = Some(Unmet::NotPaused);
-            self.back_off(now);
-            return Action::Continue(others);
-        }
-        self.stage = Stage::Pausing {
-            chosen,
-            term,
-            since,
-            asked: now,
-        };
-        Action::Pause(term, others)
-    }
-
-    /// Promotes an upstream under the token, which is used once.
-    ///
-    /// An earlier unanswered call with the same token could take effect later.
-    fn promote(&mut self, chosen: UpstreamName) -> Action {
-        let Some(token) = self.token.take() else {
-            self.stage = Stage::Claiming;
-            return Action::Claim;
-        };
-        self.stage = Stage::Promoting {
-            chosen: chosen.clone(),
-        };
-        Action::Promote(chosen, token)
-    }
-
-    /// Asks for statuses once more, or ends the choice without a promotion.
-    fn put_off(&mut self, unmet: Unmet, since: BootInstant, now: BootInstant) -> Option<Action> {
-        if unmet == Unmet::NoCandidate || now.since(since) >= MAX_COLLECT_TIME {
-            self.unmet = Some(unmet);
-            self.back_off(now);
-            return None;
-        }
-        self.stage = Stage::CollectingStatuses { since, asked: now };
-        Some(Action::AskStatus)
-    }
 }
 
 impl Default for Failover {
@@ -412,24 +336,3 @@
         Self::new()
     }
 }
-
-fn needs_failover(primary: &UpstreamName, contacts: &[Contact]) -> bool {
-    contacts.iter().any(|contact| {
-        contact.registration.name == *primary
-            && (contact.failing.is_some() || contact.is_departing())
-    })
-}
-
-fn has_candidate(primary: &UpstreamName, contacts: &[Contact]) -> bool {
-    contacts.iter().any(|contact| {
-        contact.registration.name != *primary
-            && !contact.is_departing()
-            && contact.failing.is_none()
-    })
-}
-
-/// Tells whether an upstream has been failing for so long that other vms are asked about it.
-fn is_suspect(contact: &Contact) -> bool {
-    let failing = contact.failing;
-    failing.is_some_and(|failing| failing >= SUSPECT_AFTER)
-}
--- a/crates/proxy/src/group/required.rs
+++ b/crates/proxy/src/group/required.rs
@@ -1,4 +1,4 @@
-//! Choice of the upstream to promote: it must have received every acknowledged commit.
+//! Choice of the upstream to promote: it must have every acknowledged commit when it leads.
 
 use std::time::Duration;
 
@@ -7,6 +7,7 @@
 use mustardbay_policy::position::Term;
 
 use crate::pool::Contact;
+use crate::pool::UpstreamStatus;
 
 /// Maximum age of a status that counts in the choice of the new primary.
 const MAX_STATUS_AGE: Duration = Duration::from_millis(500);
@@ -50,15 +51,52 @@
             return Err(Unmet::NoCandidate);
         }
         if let Some(floor) = self.floor {
-            return successor(candidates, floor).ok_or(Unmet::Behind(floor));
+            return most_suitable(candidates, floor).ok_or(Unmet::Behind(floor));
         }
         self.check_answers(primary, contacts, asked)?;
         most_advanced(candidates).ok_or(Unmet::NoCandidate)
     }
 
-    /// Tells whether commits go on that only replicas beside the chosen one might receive.
-    pub(super) fn keeps_receiving(&self) -> bool {
-        self.sync_replicas > 0 && self.floor.is_some()
+    /// Returns the chosen upstream as the successor, if no commit can be acknowledged without it.
+    ///
+    /// The primary may work, or work again before it is replaced, and needs `sync_replicas`
+    /// replicas for each commit. So fewer than that may receive beside the chosen one, and none
+    /// may have what that one lacks. Only statuses of the last `asked` count for the others.
+    pub(super) fn successor(
+        &self,
+        chosen: &UpstreamName,
+        term: Term,
+        primary: Option<&UpstreamName>,
+        contacts: &[Contact],
+        asked: Duration,
+    ) -> Option<Successor> {
+        let find = |name: &UpstreamName| contacts.iter().find(|c| c.registration.name == *name);
+        let own = find(chosen).and_then(|contact| contact.status);
+        let others = others(chosen, primary, contacts);
+        let paused = others.iter().filter_map(|name| {
+            let (status, age) = find(name)?.status?;
+            (age <= asked && status.paused >= Some(term)).then_some(status)
+        });
+        let paused: Vec<UpstreamStatus> = paused.collect();
+        let receiving = others.len() - paused.len();
+        let complete = own.is_some_and(|(own, _)| {
+            let mut paused = paused.iter();
+            paused.all(|other| other.received <= own.received)
+        });
+        let safe = self.sync_replicas == 0 || (receiving < self.sync_replicas && complete);
+        safe.then(|| Successor(chosen.clone()))
+    }
+
+    /// Tells whether nothing is gained by a longer wait for statuses, as every replica has answered.
+    ///
+    /// A synchronous group uses the time to pause the others.
+    pub(super) fn has_all_answers(
+        &self,
+        primary: Option<&UpstreamName>,
+        contacts: &[Contact],
+        asked: Duration,
+    ) -> bool {
+        self.sync_replicas > 0 && unanswered(primary, contacts, asked) == 0
     }
 
     /// Checks that a commit that `sync_replicas` replicas have received is at one that answered.
@@ -76,25 +114,41 @@
     }
 }
 
+/// Upstream that has every acknowledged commit now and when it is promoted; only [`Required`] names one.
+#[derive(Debug)]
+pub(super) struct Successor(UpstreamName);
+
+impl Successor {
+    /// Returns its name.
+    pub(super) fn into_name(self) -> UpstreamName {
+        self.0
+    }
+}
+
 /// Upstream that can be promoted.
 #[derive(Debug, Clone)]
 struct Candidate {
     name: UpstreamName,
     received: Position,
     draining: bool,
+    paused: bool,
 }
 
-/// Returns the successor of a primary that works: one that has all, and is not draining if possible.
-fn successor(candidates: Vec<Candidate>, floor: Position) -> Option<UpstreamName> {
+/// Returns who is to follow a primary that works: one that has all, and is not draining if possible.
+///
+/// Among equals it is one that is not paused: a home before this one may have ordered its promotion.
+fn most_suitable(candidates: Vec<Candidate>, floor: Position) -> Option<UpstreamName> {
     let complete = candidates.into_iter().filter(|c| c.received >= floor);
-    let best = complete.max_by_key(|c| (!c.draining, c.received))?;
+    let best = complete.max_by_key(|c| (!c.draining, c.received, !c.paused))?;
     Some(best.name)
 }
 
-/// Returns the successor of a lost primary: the one with the most advanced log, even if it is draining.
+/// Returns who is to follow a lost primary: the one with the most advanced log, even if it is draining.
+///
+/// Among equals it is one that is not paused, as for a primary that works.
 fn most_advanced(candidates: Vec<Candidate>) -> Option<UpstreamName> {
     let candidates = candidates.into_iter();
-    let best = candidates.max_by_key(|c| (c.received, !c.draining))?;
+    let best = candidates.max_by_key(|c| (c.received, !c.paused, !c.draining))?;
     Some(best.name)
 }
 
@@ -114,6 +168,7 @@
             name: name.clone(),
             received: status.received,
             draining: contact.registration.draining,
+            paused: status.paused.is_some(),
         })
     })
 }
@@ -146,29 +201,3 @@
         .max()
         .unwrap_or_default()
 }
-
-/// Tells whether the other replicas are paused under `term` and have nothing that `chosen` lacks.
-///
-/// Only statuses of the last `asked` count.
-pub(super) fn is_ahead_of_paused(
-    chosen: &UpstreamName,
-    term: Term,
-    primary: Option<&UpstreamName>,
-    contacts: &[Contact],
-    asked: Duration,
-) -> bool {
-    let replicas = contacts
-        .iter()
-        .filter(|contact| primary != Some(&contact.registration.name));
-    let (own, others): (Vec<&Contact>, Vec<&Contact>) =
-        replicas.partition(|contact| contact.registration.name == *chosen);
-    let status = |contact: &Contact| contact.status.filter(|(_, age)| *age <= asked);
-    let own = own.first().and_then(|contact| status(contact));
-    own.is_some_and(|(own, _)| {
-        others.iter().all(|other| {
-            status(other).is_some_and(|(other, _)| {
-                other.paused >= Some(term) && other.received <= own.received
-            })
-        })
-    })
-}
--- a/crates/proxy/src/vm/steward.rs
+++ b/crates/proxy/src/vm/steward.rs
@@ -223,7 +223,13 @@
         let action = watched
             .failover
             .tick(contacts.primary.as_ref(), &contacts.upstreams, now);
+        if watched.failover.take_kept_paused() {
+            self.deps.vm_metrics.promotion_step("keep_paused");
+            tracing::warn!(event = "replicas_kept_paused", group = %group,
+                statuses = %contacts.statuses());
+        }
         if let Some(unmet) = watched.failover.take_unmet() {
+            self.deps.vm_metrics.promotion_step("put_off");
             tracing::warn!(event = "promotion_put_off", group = %group, unmet = ?unmet,
                 statuses = %contacts.statuses());
         }
--- a/crates/proxy/src/vm/steward/promotion.rs
+++ b/crates/proxy/src/vm/steward/promotion.rs
@@ -14,6 +14,7 @@
 use crate::group::Event;
 use crate::group::Failover;
 use crate::group::FencingToken;
+use crate::group::LATE_CALL_TIME;
 use crate::link::AskBody;
 use crate::link::ReplyBody;
 use crate::link::frame::Reach;
@@ -31,8 +32,6 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between two looks at the store for a duty that may still be held.
 const DUTY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Time after which a call without an answer is not carried out any more.
-const LATE_CALL_TIME: Duration = Duration::from_secs(8);
 /// Maximum rank of the vms that are asked about an upstream: two in each domain of a small fleet.
 const MAX_PEER_RANK: usize = 8;
 
@@ -55,6 +54,9 @@
             let statuses = contacts.map(Contacts::statuses);
             tracing::info!(event = "succession", group = %group, action = ?action, evacuated, statuses);
         }
+        if let Some(step) = action.step() {
+            deps.vm_metrics.promotion_step(step);
+        }
         match action {
             Action::AskStatus => self.probe(&group, Probe::AskStatus),
             Action::Pause(term, upstreams) => {
@@ -84,11 +86,13 @@
                     .await;
                 tracing::info!(event = "promotion_called", group = %group, upstream = %upstream,
                     token = %token, result = ?promoted);
-                match promoted {
-                    Promotion::Accepted => Event::Accepted,
-                    Promotion::Refused => Event::Refused,
-                    Promotion::Unknown => Event::Unknown,
-                }
+                let (step, event) = match promoted {
+                    Promotion::Accepted => ("accepted", Event::Accepted),
+                    Promotion::Refused => ("refused", Event::Refused),
+                    Promotion::Unknown => ("unanswered", Event::Unknown),
+                };
+                deps.vm_metrics.promotion_step(step);
+                event
             }),
         }
     }
--- a/crates/proxy/src/vm_metrics.rs
+++ b/crates/proxy/src/vm_metrics.rs
@@ -52,6 +52,7 @@
     limits: Counter<u64>,
     retries: Counter<u64>,
     interruptions: Counter<u64>,
+    promotion_steps: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     latency: Histogram<f64>,
@@ -74,6 +75,7 @@
             refusals: meter.u64_counter("mustardbay_refusals").build(),
             limits: meter.u64_counter("mustardbay_limits_met").build(),
             retries: meter.u64_counter("mustardbay_retries").build(),
+            promotion_steps: meter.u64_counter("mustardbay_promotion_steps").build(),
             interruptions: meter.u64_counter("mustardbay_interruptions").build(),
             connections: meter.u64_counter("mustardbay_connections_opened").build(),
             store_calls: meter.u64_counter("mustardbay_store_calls").build(),
@@ -205,6 +207,11 @@
         self.interruptions.add(1, &labels);
     }
 
+    /// Counts a step of the replacement of a primary.
+    pub fn promotion_step(&self, step: &'static str) {
+        self.promotion_steps.add(1, &[KeyValue::new("step", step)]);
+    }
+
     /// Counts a new connection to an upstream.
     pub fn connection_opened(&self) {
         self.connections.add(1, &[]);
--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -1,5 +1,9 @@
 //! Failover from a suspected failure of the primary to the promotion of another upstream.
 
+#[path = "failover/acknowledged.rs"]
+mod acknowledged;
+#[path = "failover/replicated_group.rs"]
+mod replicated_group;
 #[path = "failover/synchronous.rs"]
 mod synchronous;
 
@@ -289,6 +293,24 @@
     assert!(!failover.is_in_progress());
 }
 
+/// Guards against the replacement of a new primary that an earlier order, or another vm, has just promoted.
+#[test_case(&["u0", "u2"]; "after_statuses_were_asked")]
+#[test_case(&["u0", "u0", "u2"]; "once_more")]
+fn choice_ends_when_another_upstream_leads(leads: &[&str]) {
+    let contacts = [
+        draining(contact("u0", 100)),
+        contact("u1", 90),
+        contact("u2", 90),
+    ];
+    let mut failover = with_token(&name("u0"), &contacts, 7);
+    for (tick, primary) in (0..).zip(leads) {
+        let next = failover.tick(Some(&name(primary)), &contacts, at(tick * 100));
+        let asks = *primary == "u0";
+        assert_eq!(next, asks.then_some(Action::AskStatus));
+    }
+    assert!(!failover.is_in_progress());
+}
+
 #[test]
 fn group_without_primary_gets_one() {
     let contacts = [contact("u1", 90), contact("u2", 95)];
--- a/crates/proxy/tests/failover/synchronous.rs
+++ b/crates/proxy/tests/failover/synchronous.rs
@@ -34,10 +34,44 @@
     let next = failover.tick(Some(&primary), &waiting, at(300));
     assert_eq!(next, Some(Action::AskStatus), "it is asked again");
     let answered = [failing("u0"), contact("u1", 90), contact("u2", 95)];
-    let promoted = failover.tick(Some(&primary), &answered, at(450));
+    let next = failover.tick(Some(&primary), &answered, at(450));
+    assert_eq!(next, Some(Action::Pause(Term(2), vec![name("u1")])));
+    let alone = [
+        failing("u0"),
+        paused(contact("u1", 90), 2),
+        contact("u2", 95),
+    ];
+    let promoted = failover.tick(Some(&primary), &alone, at(500));
     assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(7))));
 }
 
+/// Guards against a lost primary that is back, and acknowledges what only a replica beside the chosen one has (LOST).
+#[test_case(&[("u1", 90, None)], false; "it_receives")]
+#[test_case(&[("u1", 90, Some(1))], false; "paused_under_the_old_term")]
+#[test_case(&[("u1", 97, Some(2)), ("u2", 96, None)], false; "it_has_more_but_the_chosen_one_is_not_paused")]
+#[test_case(&[("u1", 95, Some(2))], true; "paused")]
+fn lost_primary_is_followed_once_nobody_acknowledges_without_the_chosen_replica(
+    changes: &[(&str, u64, Option<u64>)],
+    promoted: bool,
+) {
+    let primary = name("u0");
+    let mut contacts = [failing("u0"), contact("u1", 90), contact("u2", 95)];
+    let mut failover = collecting_statuses(&contacts);
+    failover.set_sync_replicas(1);
+    let next = failover.tick(Some(&primary), &contacts, at(300));
+    assert_eq!(next, Some(Action::Pause(Term(2), vec![name("u1")])));
+    for (upstream, received, term) in changes {
+        let index = usize::from(*upstream == "u2") + 1;
+        contacts[index] = contact(upstream, *received);
+        if let Some(term) = term {
+            contacts[index] = paused(contact(upstream, *received), *term);
+        }
+    }
+    let next = failover.tick(Some(&primary), &contacts, at(350));
+    let expected = Action::Promote(name("u2"), FencingToken(7));
+    assert_eq!(next, promoted.then_some(expected));
+}
+
 /// Guards against the promotion of whoever answers first (LOST).
 #[test_case(0, true; "asynchronous")]
 #[test_case(1, false; "one_of_two_replicas")]
@@ -74,6 +108,9 @@
     }
 }
 
+/// Time from which on no order of an earlier home can be carried out, in milliseconds after the claim.
+const SETTLED: u64 = 8_000;
+
 /// Returns a failover that has asked u1 to pause, and is about to promote u2 at a working primary's place.
 fn pausing_the_others() -> Failover {
     let primary = name("u0");
@@ -84,8 +121,8 @@
     ];
     let mut failover = with_token(&primary, &contacts, 7);
     failover.set_sync_replicas(1);
-    failover.tick(Some(&primary), &contacts, at(0));
-    let next = failover.tick(Some(&primary), &contacts, at(100));
+    failover.tick(Some(&primary), &contacts, at(SETTLED));
+    let next = failover.tick(Some(&primary), &contacts, at(SETTLED + 100));
     assert_eq!(next, Some(Action::Pause(Term(2), vec![name("u1")])));
     failover
 }
@@ -100,14 +137,14 @@
         paused(contact("u1", 102), 2),
         contact("u2", 101),
     ];
-    let next = failover.tick(Some(&primary), &behind, at(200));
+    let next = failover.tick(Some(&primary), &behind, at(SETTLED + 200));
     assert_eq!(next, Some(Action::Pause(Term(2), vec![name("u1")])));
     let ahead = [
         draining(contact("u0", 104)),
         paused(contact("u1", 102), 2),
         contact("u2", 103),
     ];
-    let promoted = failover.tick(Some(&primary), &ahead, at(300));
+    let promoted = failover.tick(Some(&primary), &ahead, at(SETTLED + 300));
     assert_eq!(promoted, Some(Action::Promote(name("u2"), FencingToken(7))));
 }
 
@@ -120,7 +157,7 @@
         paused(contact("u1", 100), 1),
         contact("u2", 100),
     ];
-    let ticks = (200..700).step_by(50);
+    let ticks = (SETTLED + 200..SETTLED + 700).step_by(50);
     let actions = ticks.filter_map(|millis| failover.tick(Some(&primary), &contacts, at(millis)));
     let actions: Vec<Action> = actions.collect();
     assert_eq!(
@@ -132,15 +169,33 @@
     assert!(!actions.iter().any(|a| matches!(a, Action::Promote(..))));
 }
 
-/// A home that ends between the pause and the promotion leaves replicas paused.
+/// A home that ends between the pause and the promotion leaves replicas paused, but its order may be under way (LOST).
 #[test]
 fn replica_that_nobody_promotes_beside_receives_again() {
     let primary = name("u0");
     let contacts = [contact("u0", 100), paused(contact("u1", 90), 2)];
     let mut failover = with_token(&primary, &contacts, 7);
-    let next = failover.tick(Some(&primary), &contacts, at(50));
-    assert_eq!(next, Some(Action::Continue(vec![name("u1")])));
-    assert_eq!(failover.tick(Some(&primary), &contacts, at(100)), None);
+    let ticks = (50..SETTLED).step_by(50);
+    let mut early = ticks.filter_map(|millis| failover.tick(Some(&primary), &contacts, at(millis)));
+    assert_eq!(early.next(), None);
+    assert!(failover.take_kept_paused(), "operators are told");
+    let ticks = (SETTLED..SETTLED + 550).step_by(50);
+    let late = ticks.filter_map(|millis| failover.tick(Some(&primary), &contacts, at(millis)));
+    let late: Vec<Action> = late.collect();
+    assert_eq!(late, [Action::Continue(vec![name("u1")])]);
+}
+
+/// Guards against pauses that end though a newer claim shows that another vm may have given orders (LOST).
+#[test]
+fn lost_lease_keeps_replicas_paused() {
+    let primary = name("u0");
+    let contacts = [contact("u0", 100), paused(contact("u1", 90), 2)];
+    let mut failover = with_token(&primary, &contacts, 7);
+    failover.discard_token();
+    let mut ticks = (SETTLED..3 * SETTLED).step_by(50);
+    let continues = |action: Option<Action>| matches!(action, Some(Action::Continue(_)));
+    let freed = ticks.any(|millis| continues(failover.tick(Some(&primary), &contacts, at(millis))));
+    assert!(!freed, "the claim has no answer");
 }
 
 #[test]
