Replace a lost primary beside an upstream that does not know how to pause

Change: the pool remembers which upstreams do not know the command, until they restart, and logs pause_unknown once.

--- a/crates/proxy/src/group/required.rs
+++ b/crates/proxy/src/group/required.rs
@@ -62,6 +62,8 @@
     /// The primary may work, or work again before it is replaced, and needs `sync_replicas`
     /// replicas for each commit. So fewer than that may receive beside the chosen one, and none
     /// may have what that one lacks. Only statuses of the last `asked` count for the others.
+    ///
+    /// After a loss, one that does not know the command to pause does not count: nobody would ever lead.
     pub(super) fn successor(
         &self,
         chosen: &UpstreamName,
@@ -72,13 +74,17 @@
     ) -> Option<Successor> {
         let find = |name: &UpstreamName| contacts.iter().find(|c| c.registration.name == *name);
         let own = find(chosen).and_then(|contact| contact.status);
-        let others = others(chosen, primary, contacts);
-        let paused = others.iter().filter_map(|name| {
-            let (status, age) = find(name)?.status?;
-            (age <= asked && status.paused >= Some(term)).then_some(status)
-        });
-        let paused: Vec<UpstreamStatus> = paused.collect();
-        let receiving = others.len() - paused.len();
+        let lost = self.floor.is_none();
+        let mut paused: Vec<UpstreamStatus> = Vec::new();
+        let mut receiving = 0;
+        for other in others(chosen, primary, contacts).iter().filter_map(find) {
+            let status = other.status.filter(|(_, age)| *age <= asked);
+            match status.filter(|(status, _)| status.paused >= Some(term)) {
+                Some((status, _)) => paused.push(status),
+                None if lost && !other.pausable => {}
+                None => receiving += 1,
+            }
+        }
         let complete = own.is_some_and(|(own, _)| {
             let mut paused = paused.iter();
             paused.all(|other| other.received <= own.received)
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -170,6 +170,7 @@
             Input::StatusReceived(connection, status, position) => {
                 self.status_received(connection, status, position, now);
             }
+            Input::PauseUnknown(connection) => self.pause_unknown(connection),
             Input::Lost(connection) => self.lost(connection, now),
             Input::Closed(connection) => self.closed(connection),
             Input::Upstreams {
--- a/crates/proxy/src/pool/input.rs
+++ b/crates/proxy/src/pool/input.rs
@@ -59,6 +59,8 @@
     Replied(ConnectionId, Answer),
     /// The upstream answered a status query; the status is absent if the answer did not hold one.
     StatusReceived(ConnectionId, Option<UpstreamStatus>, Option<Position>),
+    /// The upstream does not know the command to pause.
+    PauseUnknown(ConnectionId),
     /// A connection broke.
     Lost(ConnectionId),
     /// The upstream confirmed the end of a connection that the pool closed.
--- a/crates/proxy/src/pool/output.rs
+++ b/crates/proxy/src/pool/output.rs
@@ -49,6 +49,8 @@
     PrimaryProven(UpstreamName, Term),
     /// The known primary turned out to be a replica.
     PrimaryLost(UpstreamName),
+    /// An upstream does not know the command to pause.
+    PauseUnknown(UpstreamName),
     /// An upstream stopped answering.
     UpstreamLost(UpstreamName),
     /// An upstream answers again.
--- a/crates/proxy/src/pool/reply.rs
+++ b/crates/proxy/src/pool/reply.rs
@@ -8,6 +8,8 @@
 use crate::pool::connection::ConnectionId;
 use crate::pool::connection::Stage;
 use crate::pool::input::OpenFailure;
+use crate::pool::output::Note;
+use crate::pool::output::Output;
 use crate::pool::output::RetryReason;
 use crate::pool::pending_unit::Execution;
 use crate::pool::refusal::Outcome;
@@ -122,6 +124,18 @@
         self.send_next(id, now);
     }
 
+    /// Records that an upstream cannot be paused, which an earlier version of its software cannot.
+    pub(super) fn pause_unknown(&mut self, id: ConnectionId) {
+        let name = self.connections.get(&id).map(|c| c.upstream.clone());
+        if let Some(upstream) = name.and_then(|name| self.upstreams.get_mut(&name))
+            && upstream.pausable
+        {
+            upstream.pausable = false;
+            let name = upstream.registration.name.clone();
+            self.outputs.push(Output::Note(Note::PauseUnknown(name)));
+        }
+    }
+
     /// Handles the answer to the query in flight.
     pub(super) fn replied(&mut self, id: ConnectionId, answer: Answer, now: BootInstant) {
         let Some(connection) = self.connections.get_mut(&id) else {
--- a/crates/proxy/src/pool/state.rs
+++ b/crates/proxy/src/pool/state.rs
@@ -25,6 +25,8 @@
     pub registration: Registration,
     /// Whether its failure domain is evacuated.
     pub evacuated: bool,
+    /// Whether it may be paused: it has not said that it does not know the command.
+    pub pausable: bool,
     /// Log position that it last reported.
     pub position: Option<Position>,
     /// Time since its last answer.
@@ -136,6 +138,7 @@
             .map(|upstream| Contact {
                 registration: upstream.registration.clone(),
                 evacuated: upstream.departure.is_evacuated(),
+                pausable: upstream.pausable,
                 position: upstream.applied,
                 silence: now.since(upstream.last_answer),
                 failing: upstream.failing_since.map(|at| now.since(at)),
--- a/crates/proxy/src/pool/upstream.rs
+++ b/crates/proxy/src/pool/upstream.rs
@@ -91,6 +91,8 @@
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) registration: Registration,
+    /// Whether it may be paused: since its start it has not said that it does not know the command.
+    pub(super) pausable: bool,
     /// Last applied log position that it reported.
     pub(super) applied: Option<Position>,
     /// Replication lag, and when it was measured.
@@ -127,6 +129,7 @@
     pub(super) fn new(registration: Registration, now: BootInstant) -> Self {
         Self {
             registration,
+            pausable: true,
             applied: None,
             lag: None,
             status: None,
@@ -154,6 +157,7 @@
         } else {
             *leaving = None;
         }
+        self.pausable |= registration.incarnation != self.registration.incarnation;
         self.registration = registration;
     }
 
--- a/crates/proxy/src/runner.rs
+++ b/crates/proxy/src/runner.rs
@@ -219,6 +219,9 @@
             Note::PrimaryLost(upstream) => {
                 tracing::info!(event = "lead_lost", group = %group, upstream = %upstream);
             }
+            Note::PauseUnknown(upstream) => {
+                tracing::warn!(event = "pause_unknown", group = %group, upstream = %upstream);
+            }
             Note::UpstreamLost(upstream) => {
                 tracing::info!(event = "upstream_lost", group = %group, upstream = %upstream);
             }
--- a/crates/proxy/src/runner/dial.rs
+++ b/crates/proxy/src/runner/dial.rs
@@ -17,6 +17,7 @@
 use crate::budget::Budget;
 use crate::budget::shrink;
 use crate::link_handler::PoolInbox;
+use crate::pool::Command;
 use crate::pool::ConnectionId;
 use crate::pool::Input;
 use crate::pool::OpenFailure;
@@ -125,6 +126,7 @@
                 return;
             };
             let asks_status = query.command.returns_status();
+            let pauses = matches!(query.command, Command::Pause(_));
             let answer = tokio::select! {
                 answer = exchange::<W>(&mut stream, query, self.budget.sizes().answer_bytes) => answer,
                 () = until_closed(&mut queries) => return,
@@ -133,6 +135,9 @@
                 self.tell(Input::Lost(self.connection));
                 return;
             };
+            if pauses && answer.failure() == Some(Code::Malformed) {
+                self.tell(Input::PauseUnknown(self.connection));
+            }
             self.tell(if asks_status {
                 let status = answer.rows.first().and_then(|row| W::status(row));
                 let position = answer.position.map(Position::from);
--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -52,6 +52,7 @@
             cold: false,
         },
         evacuated: false,
+        pausable: true,
         position: Some(Position::new(1, received)),
         silence: Duration::ZERO,
         failing: None,
--- a/crates/proxy/tests/failover/synchronous.rs
+++ b/crates/proxy/tests/failover/synchronous.rs
@@ -72,6 +72,28 @@
     assert_eq!(next, promoted.then_some(expected));
 }
 
+/// Guards against a group without a primary for good, before upstreams that cannot be paused.
+#[test_case(failing("u0"), true; "lost_primary")]
+#[test_case(draining(contact("u0", 95)), false; "working_primary")]
+fn replica_that_does_not_know_pauses_stops_planned_promotions_only(old: Contact, promoted: bool) {
+    let primary = name("u0");
+    let unable = Contact {
+        pausable: false,
+        ..contact("u1", 95)
+    };
+    let contacts = [old, unable, contact("u2", 95)];
+    let mut failover = with_token(&primary, &contacts, 7);
+    failover.set_sync_replicas(1);
+    let leads = (0..3_000).step_by(50).any(|millis| {
+        let next = failover.tick(Some(&primary), &contacts, at(millis));
+        if next == Some(Action::AskPeers(name("u0"))) {
+            failover.handle(Event::NoPeerReaches, at(millis));
+        }
+        matches!(next, Some(Action::Promote(..)))
+    });
+    assert_eq!(leads, promoted);
+}
+
 /// Guards against the promotion of whoever answers first (LOST).
 #[test_case(0, true; "asynchronous")]
 #[test_case(1, false; "one_of_two_replicas")]
--- a/crates/proxy/tests/pool/faults.rs
+++ b/crates/proxy/tests/pool/faults.rs
@@ -231,6 +231,22 @@
     assert_eq!(sim.held.len(), sim.pool.level(sim.now).connections);
 }
 
+/// The failover needs to know which upstreams it cannot pause.
+#[test]
+fn upstream_that_does_not_know_pauses_is_remembered_and_logged_once() {
+    let mut sim = Simulation::new(14);
+    sim.submit(single(Verb::Write, "w"));
+    sim.run(Duration::from_millis(100));
+    let connection = *sim.held.first().expect("one is open");
+    sim.feed(Input::PauseUnknown(connection));
+    sim.feed(Input::PauseUnknown(connection));
+    let contacts = sim.pool.contacts(sim.now);
+    let unable = contacts.iter().filter(|contact| !contact.pausable);
+    assert_eq!(unable.count(), 1);
+    let is_told = |note: &&Note| matches!(note, Note::PauseUnknown(_));
+    assert_eq!(sim.notes.iter().filter(is_told).count(), 1);
+}
+
 #[test]
 fn retired_pool_refuses_new_units() {
     let mut sim = Simulation::new(14);
