--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -2,7 +2,7 @@
 
 mod action;
 mod failover;
-mod order;
+mod pending_promotion;
 mod required;
 mod stage;
 mod suspicion;
@@ -11,5 +11,5 @@
 pub use action::Event;
 pub use action::FencingToken;
 pub use failover::Failover;
-pub use order::LATE_CALL_TIME;
+pub use pending_promotion::LATE_CALL_TIME;
 pub use required::Unmet;
--- a/crates/proxy/src/group/failover.rs
+++ b/crates/proxy/src/group/failover.rs
@@ -10,8 +10,8 @@
 use crate::group::action::Action;
 use crate::group::action::Event;
 use crate::group::action::FencingToken;
-use crate::group::order::EFFECT_TIME;
-use crate::group::order::OpenOrder;
+use crate::group::pending_promotion::EFFECT_TIME;
+use crate::group::pending_promotion::PendingPromotion;
 use crate::group::required::Required;
 use crate::group::required::Unmet;
 use crate::group::stage::Choice;
@@ -49,8 +49,8 @@
     /// Time from which a claim in advance may be tried again.
     claim_after: BootInstant,
     no_primary_since: Option<BootInstant>,
-    /// Until when paused replicas must stay so.
-    order: OpenOrder,
+    /// Promotion that may take effect; paused replicas stay so until then.
+    pending: PendingPromotion,
     /// Whether paused replicas were kept so since the log was last told.
     kept_paused: bool,
     /// Primary that the failover in progress is to replace, if one was known.
@@ -74,7 +74,7 @@
             retry_after: BootInstant::default(),
             claim_after: BootInstant::default(),
             no_primary_since: None,
-            order: OpenOrder::default(),
+            pending: PendingPromotion::default(),
             kept_paused: false,
             replaced: None,
             required: Required::default(),
@@ -92,7 +92,7 @@
         self.unmet.take()
     }
 
-    /// Tells whether paused replicas were kept so because an order may be carried out, once for each time.
+    /// Tells whether paused replicas were kept so because a promotion may take effect, once for each time.
     pub fn take_kept_paused(&mut self) -> bool {
         std::mem::take(&mut self.kept_paused)
     }
@@ -169,9 +169,9 @@
                 },
                 Event::Accepted | Event::Unknown,
             ) => {
-                self.order = match event {
+                self.pending = match event {
                     Event::Accepted => before.accepted(now),
-                    _ => before.given(now),
+                    _ => before.called(now),
                 };
                 self.stage = Stage::Confirming(Choice {
                     chosen,
@@ -182,7 +182,7 @@
                 None
             }
             (Stage::Promoting { before, .. }, Event::Refused) => {
-                self.order = before;
+                self.pending = before;
                 self.back_off(now);
                 None
             }
@@ -199,7 +199,7 @@
     pub fn discard_token(&mut self) {
         self.token = None;
         self.held_token = None;
-        self.order = OpenOrder::OfAnyVm;
+        self.pending = PendingPromotion::ByAnyVm;
     }
 
     /// Returns the token of the last claim, which a vm that is no longer the group's home releases.
@@ -215,7 +215,7 @@
     }
 
     fn store_token(&mut self, token: FencingToken, now: BootInstant) {
-        self.order.claimed(now);
+        self.pending.claimed(now);
         self.claiming = false;
         self.unanswered_claim = false;
         self.token = Some(token);
@@ -267,7 +267,7 @@
         let another_leads = primary.is_some() && primary != self.replaced.as_ref();
         let done = match &self.stage {
             Stage::Confirming(choice) if primary == Some(&choice.chosen) => {
-                self.order.carried_out();
+                self.pending.took_effect();
                 true
             }
             Stage::AskingPeers { .. } => {
--- a/crates/proxy/src/group/failover/choosing.rs
+++ b/crates/proxy/src/group/failover/choosing.rs
@@ -105,15 +105,15 @@
             .successor(&choice.chosen, choice.term, primary, contacts, asked)
     }
 
-    /// Lets paused replicas receive again, unless an order may still be carried out.
+    /// Lets paused replicas receive again, unless a promotion may still take effect.
     ///
-    /// The upstream that it names would lack what only they have received by then.
+    /// The promoted upstream would lack what only they have received by then.
     pub(super) fn let_receive(
         &mut self,
         paused: Vec<UpstreamName>,
         now: BootInstant,
     ) -> Option<Action> {
-        if self.order.is_open(now) {
+        if self.pending.may_take_effect(now) {
             self.kept_paused = true;
             return None;
         }
@@ -132,9 +132,9 @@
         self.stage = Stage::Promoting {
             chosen: chosen.clone(),
             term,
-            before: self.order,
+            before: self.pending,
         };
-        self.order = self.order.given(now);
+        self.pending = self.pending.called(now);
         Action::Promote(chosen, token)
     }
 
--- a/crates/proxy/src/group/required.rs
+++ b/crates/proxy/src/group/required.rs
@@ -142,7 +142,7 @@
 
 /// Returns who is to follow a primary that works: one that has all, and is not draining if possible.
 ///
-/// Among equals it is one that is not paused: a home before this one may have ordered its promotion.
+/// Among equals it is one that is not paused: a home before this one may have called for its promotion.
 fn most_suitable(candidates: Vec<Candidate>, floor: Position) -> Option<UpstreamName> {
     let complete = candidates.into_iter().filter(|c| c.received >= floor);
     let best = complete.max_by_key(|c| (!c.draining, c.received, !c.paused))?;
--- a/crates/proxy/src/group/stage.rs
+++ b/crates/proxy/src/group/stage.rs
@@ -4,7 +4,7 @@
 use mustardbay_policy::position::Term;
 
 use crate::clock::BootInstant;
-use crate::group::order::OpenOrder;
+use crate::group::pending_promotion::PendingPromotion;
 
 /// Stage of a failover.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,8 +27,8 @@
     Promoting {
         chosen: UpstreamName,
         term: Term,
-        /// What was open before this order.
-        before: OpenOrder,
+        /// What was pending before this call.
+        before: PendingPromotion,
     },
     /// The chosen upstream is expected to become primary.
     Confirming(Choice),
--- a/crates/proxy/tests/failover.rs
+++ b/crates/proxy/tests/failover.rs
@@ -294,7 +294,7 @@
     assert!(!failover.is_in_progress());
 }
 
-/// Guards against the replacement of a new primary that an earlier order, or another vm, has just promoted.
+/// Guards against the replacement of a new primary that an earlier call, or another vm, has just promoted.
 #[test_case(&["u0", "u2"]; "after_statuses_were_asked")]
 #[test_case(&["u0", "u0", "u2"]; "once_more")]
 fn choice_ends_when_another_upstream_leads(leads: &[&str]) {
--- a/crates/proxy/tests/failover/acknowledged.rs
+++ b/crates/proxy/tests/failover/acknowledged.rs
@@ -11,31 +11,31 @@
 use crate::replicated_group::EFFECT_MS;
 use crate::replicated_group::ReplicatedGroup;
 
-/// Returns a group whose primary is down, with a promotion that was just ordered.
+/// Returns a group whose primary is down, with a promotion that was just called for.
 ///
 /// Both replicas have received the same by then, and from now on one is slower than the other.
-fn ordered_after_a_loss(call: Call) -> ReplicatedGroup {
+fn promoting_after_a_loss(call: Call) -> ReplicatedGroup {
     let mut group = ReplicatedGroup::new([20, 20]);
     group.call = call;
     group.servers[0].up = false;
-    group.run_until_ordered();
+    group.run_until_called();
     slow_the_chosen(&mut group);
     group
 }
 
-/// Returns a group whose working primary is to be replaced, with a promotion that was just ordered.
-fn ordered_while_it_works(call: Call) -> ReplicatedGroup {
+/// Returns a group whose working primary is to be replaced, with a promotion that was just called for.
+fn promoting_while_it_works(call: Call) -> ReplicatedGroup {
     let mut group = ReplicatedGroup::new([20, 20]);
     group.call = call;
     group.servers[0].draining = true;
-    group.run_until_ordered();
+    group.run_until_called();
     slow_the_chosen(&mut group);
     group
 }
 
-/// Makes both replicas' next commits late at whoever was chosen: that one is in the orders.
+/// Makes both replicas' next commits late at whoever was chosen: that one is in the calls.
 fn slow_the_chosen(group: &mut ReplicatedGroup) {
-    let chosen = group.ordered().expect("one was ordered");
+    let chosen = group.promoting().expect("one was chosen");
     group.servers[chosen].lag_ms = 400;
     group.servers[3 - chosen].lag_ms = 10;
 }
@@ -45,7 +45,7 @@
 #[test_case(600; "before_the_lead")]
 #[test_case(900; "just_before_the_lead")]
 fn primary_that_is_back_before_its_replacement_leads_loses_nothing(back_after: u64) {
-    let mut group = ordered_after_a_loss(Call::Answered);
+    let mut group = promoting_after_a_loss(Call::Answered);
     group.run(back_after);
     group.servers[0].up = true;
     group.run(5_000);
@@ -53,25 +53,31 @@
 }
 
 /// Guards against a call without an answer that is carried out when nobody expects it any more.
-#[test_case(ordered_after_a_loss, 1_500; "lost_primary")]
-#[test_case(ordered_after_a_loss, 7_000; "lost_primary_and_a_newer_order")]
-#[test_case(ordered_while_it_works, 1_500; "working_primary")]
-#[test_case(ordered_while_it_works, 7_000; "working_primary_and_a_newer_order")]
-fn order_that_is_carried_out_late_loses_nothing(ordered: fn(Call) -> ReplicatedGroup, after: u64) {
-    let mut group = ordered(Call::Late(after));
+#[test_case(promoting_after_a_loss, 1_500; "lost_primary")]
+#[test_case(promoting_after_a_loss, 7_000; "lost_primary_and_a_newer_call")]
+#[test_case(promoting_while_it_works, 1_500; "working_primary")]
+#[test_case(promoting_while_it_works, 7_000; "working_primary_and_a_newer_call")]
+fn promotion_that_is_carried_out_late_loses_nothing(
+    promoting: fn(Call) -> ReplicatedGroup,
+    after: u64,
+) {
+    let mut group = promoting(Call::Late(after));
     group.servers[0].up = true;
     group.servers[0].draining = false;
     group.run(after + 2_000);
     assert!(group.promotions > 0);
 }
 
-/// Guards against a new home that lets replicas receive again beside an order of the former one.
-#[test_case(ordered_after_a_loss, Call::Answered; "lost_primary")]
-#[test_case(ordered_while_it_works, Call::Answered; "working_primary")]
-#[test_case(ordered_after_a_loss, Call::Late(6_000); "lost_primary_and_a_late_order")]
-#[test_case(ordered_while_it_works, Call::Late(6_000); "working_primary_and_a_late_order")]
-fn home_that_moves_beside_an_order_loses_nothing(ordered: fn(Call) -> ReplicatedGroup, call: Call) {
-    let mut group = ordered(call);
+/// Guards against a new home that lets replicas receive again beside a promotion of the former one.
+#[test_case(promoting_after_a_loss, Call::Answered; "lost_primary")]
+#[test_case(promoting_while_it_works, Call::Answered; "working_primary")]
+#[test_case(promoting_after_a_loss, Call::Late(6_000); "lost_primary_and_a_late_call")]
+#[test_case(promoting_while_it_works, Call::Late(6_000); "working_primary_and_a_late_call")]
+fn home_that_moves_beside_a_promotion_loses_nothing(
+    promoting: fn(Call) -> ReplicatedGroup,
+    call: Call,
+) {
+    let mut group = promoting(call);
     group.run(100);
     group.move_home();
     group.servers[0].up = true;
@@ -80,11 +86,11 @@
     assert!(group.promotions > 0);
 }
 
-/// Pauses end once no order can be carried out any more, else commits would need the chosen replica for good.
+/// Pauses end once no promotion can take effect any more, else commits would need the chosen replica for good.
 #[test]
-fn order_that_comes_to_nothing_lets_replicas_receive_again() {
-    let mut group = ordered_while_it_works(Call::Answered);
-    group.drop_orders();
+fn promotion_that_comes_to_nothing_lets_replicas_receive_again() {
+    let mut group = promoting_while_it_works(Call::Answered);
+    group.drop_calls();
     group.move_home();
     group.servers[0].draining = false;
     group.run(12_000);
--- a/crates/proxy/tests/failover/replicated_group.rs
+++ b/crates/proxy/tests/failover/replicated_group.rs
@@ -74,7 +74,7 @@
     token: u64,
     seen_token: u64,
     /// Promotions that are under way: when they take effect, whom they name and their token.
-    orders: Vec<(u64, usize, u64)>,
+    calls: Vec<(u64, usize, u64)>,
     events: Vec<(u64, Event)>,
     status_due: Vec<u64>,
 }
@@ -105,7 +105,7 @@
             failover: home(),
             token: 0,
             seen_token: 0,
-            orders: Vec::new(),
+            calls: Vec::new(),
             events: Vec::new(),
             status_due: Vec::new(),
         };
@@ -120,13 +120,13 @@
     }
 
     /// Returns whose promotion is under way.
-    pub fn ordered(&self) -> Option<usize> {
-        self.orders.last().map(|(_, index, _)| *index)
+    pub fn promoting(&self) -> Option<usize> {
+        self.calls.last().map(|(_, index, _)| *index)
     }
 
-    /// Has the platform carry out nothing that was ordered, as when a vm ended before its call.
-    pub fn drop_orders(&mut self) {
-        self.orders.clear();
+    /// Has the platform carry out nothing that was called for, as when a vm ended before its call.
+    pub fn drop_calls(&mut self) {
+        self.calls.clear();
     }
 
     /// Lets time pass.
@@ -140,20 +140,20 @@
             self.now += STEP_MS;
             self.replicate();
             self.take_statuses();
-            self.carry_out_orders();
+            self.carry_out_calls();
             if self.now.is_multiple_of(CHECK_MS) {
                 self.check();
             }
         }
     }
 
-    /// Lets time pass until a promotion has been ordered.
-    pub fn run_until_ordered(&mut self) {
+    /// Lets time pass until a promotion has been called for.
+    pub fn run_until_called(&mut self) {
         let end = self.now + 10_000;
-        while self.ordered().is_none() && self.now < end {
+        while self.promoting().is_none() && self.now < end {
             self.run(STEP_MS);
         }
-        assert!(self.ordered().is_some(), "nobody was ordered to lead");
+        assert!(self.promoting().is_some(), "nobody was promoted");
     }
 
     fn replicate(&mut self) {
@@ -203,15 +203,15 @@
         }
     }
 
-    fn carry_out_orders(&mut self) {
+    fn carry_out_calls(&mut self) {
         let now = self.now;
         let due: Vec<(u64, usize, u64)> = self
-            .orders
+            .calls
             .iter()
             .copied()
             .filter(|(at, ..)| *at <= now)
             .collect();
-        self.orders.retain(|(at, ..)| *at > now);
+        self.calls.retain(|(at, ..)| *at > now);
         for (_, index, token) in due {
             if token < self.seen_token {
                 continue;
@@ -340,7 +340,7 @@
         if self.call == Call::Answered {
             self.seen_token = self.seen_token.max(token);
         }
-        self.orders
+        self.calls
             .extend(after.map(|after| (self.now + after, index, token)));
         self.events.push((self.now + CALL_MS, event));
     }
--- a/crates/proxy/tests/failover/synchronous.rs
+++ b/crates/proxy/tests/failover/synchronous.rs
@@ -130,7 +130,7 @@
     }
 }
 
-/// Time from which on no order of an earlier home can be carried out, in milliseconds after the claim.
+/// Time from which on no promotion of an earlier home can take effect, in milliseconds after the claim.
 const SETTLED: u64 = 8_000;
 
 /// Returns a failover that has asked u1 to pause, and is about to promote u2 at a working primary's place.
@@ -191,7 +191,7 @@
     assert!(!actions.iter().any(|a| matches!(a, Action::Promote(..))));
 }
 
-/// A home that ends between the pause and the promotion leaves replicas paused, but its order may be under way (LOST).
+/// A home that ends between the pause and the promotion leaves replicas paused, but its promotion may be under way (LOST).
 #[test]
 fn replica_that_nobody_promotes_beside_receives_again() {
     let primary = name("u0");
@@ -207,7 +207,7 @@
     assert_eq!(late, [Action::Continue(vec![name("u1")])]);
 }
 
-/// Guards against pauses that end though a newer claim shows that another vm may have given orders (LOST).
+/// Guards against pauses that end though a newer claim shows that another vm may have called for a promotion (LOST).
 #[test]
 fn lost_lease_keeps_replicas_paused() {
     let primary = name("u0");
