--- a/crates/proxy/tests/failover/acknowledged.rs
+++ b/crates/proxy/tests/failover/acknowledged.rs
@@ -33,7 +33,7 @@
     group
 }
 
-/// Makes both replicas' next commits late at whoever was chosen: that one is in the calls.
+/// Makes the chosen replica receive the next commits late, and the other one early.
 fn slow_the_chosen(group: &mut ReplicatedGroup) {
     let chosen = group.promoting().expect("one was chosen");
     group.servers[chosen].lag_ms = 400;
