--- a/crates/proxy/tests/failover/acknowledged.rs
+++ b/crates/proxy/tests/failover/acknowledged.rs
@@ -10,24 +10,25 @@
 use crate::replicated_group::Call;
 use crate::replicated_group::EFFECT_MS;
 use crate::replicated_group::ReplicatedGroup;
+use crate::replicated_group::Server;
 
 /// Returns a group whose primary is down, with a promotion that was just called for.
-///
-/// Both replicas have received the same by then, and from now on one is slower than the other.
 fn promoting_after_a_loss(call: Call) -> ReplicatedGroup {
-    let mut group = ReplicatedGroup::new([20, 20]);
-    group.call = call;
-    group.servers[0].up = false;
-    group.run_until_called();
-    slow_the_chosen(&mut group);
-    group
+    promoting(call, |primary| primary.up = false)
 }
 
 /// Returns a group whose working primary is to be replaced, with a promotion that was just called for.
 fn promoting_while_it_works(call: Call) -> ReplicatedGroup {
+    promoting(call, |primary| primary.draining = true)
+}
+
+/// Returns a group in which a promotion was just called for, because of a change of the primary.
+///
+/// Both replicas have received the same by then, and from now on one is slower than the other.
+fn promoting(call: Call, change: impl FnOnce(&mut Server)) -> ReplicatedGroup {
     let mut group = ReplicatedGroup::new([20, 20]);
     group.call = call;
-    group.servers[0].draining = true;
+    change(&mut group.servers[0]);
     group.run_until_called();
     slow_the_chosen(&mut group);
     group
