--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -10,6 +10,8 @@
 pub mod record;
 #[path = "store.rs"]
 pub mod store;
+#[path = "template.rs"]
+pub mod template;
 #[path = "vm.rs"]
 pub mod vm;
 
