--- a/review/standins-3/group.rs
+++ b/review/standins-3/group.rs
@@ -69,6 +69,8 @@
     freed: Arc<Condvar>,
     figures: Figures,
     record: Record,
+    /// Statements of clients that ran: id, tenant, time.
+    pub ran: Arc<Mutex<Vec<(String, String, Instant)>>>,
 }
 
 impl Groups {
@@ -79,6 +81,7 @@
             freed: Arc::default(),
             figures,
             record,
+            ran: Arc::default(),
         };
         for service in services {
             let mut backends = Vec::new();
@@ -511,6 +514,8 @@
     }
 
     fn note(&self, id: &str, text: &str) {
+        let ran = (id.to_owned(), self.tenant.clone(), Instant::now());
+        self.groups.ran.lock().expect("not poisoned").push(ran);
         let backend = self.groups.backend(&self.service, self.index, |b| b.id.clone());
         self.groups
             .record
