--- a/review/15/play.rs
+++ b/review/15/play.rs
@@ -48,7 +48,8 @@
         let text = fs::read_to_string("deploy/settings.yaml").expect("the template");
         let text = template::fill(&text, &fields).expect("a valid template");
         fs::write(&self.settings, text).expect("the settings are written");
-        self.record.line(&format!("settings written with graceS {grace}"));
+        self.record
+            .line(&format!("settings written with graceS {grace}"));
     }
 
     fn start(&self) -> Child {
@@ -77,7 +78,8 @@
         let until = Instant::now() + SERVE_TIME;
         loop {
             if let Ok(Some(status)) = child.try_wait() {
-                self.record.line(&format!("process {} ended by itself: {status}", child.id()));
+                self.record
+                    .line(&format!("process {} ended by itself: {status}", child.id()));
                 return false;
             }
             let answer = Client::start(self.entry, "leaflets", "key-1")
@@ -97,8 +99,13 @@
 
 fn signal(child: &Child, name: &str, record: &Record) {
     record.line(&format!("{name} to process {}", child.id()));
-    let sent = Command::new("kill").args([format!("-{name}"), child.id().to_string()]).status();
-    assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
+    let sent = Command::new("kill")
+        .args([format!("-{name}"), child.id().to_string()])
+        .status();
+    assert!(
+        sent.is_ok_and(|status| status.success()),
+        "the signal is sent"
+    );
 }
 
 fn main() {
@@ -113,7 +120,12 @@
         rows: 1,
         row: "a",
     };
-    let groups = Groups::start(&["huvo11a"], &["oslo-a", "oslo-b", "hamar"], figures, record.clone());
+    let groups = Groups::start(
+        &["huvo11a"],
+        &["oslo-a", "oslo-b", "hamar"],
+        figures,
+        record.clone(),
+    );
     let store = Store::start(groups, record.clone());
     store.put("op/config", CONFIGURATION);
     let machine = machine(&store, &temporary, &record);
@@ -143,7 +155,10 @@
     }
     let log = fs::read_to_string(machine.settings.with_extension("log")).unwrap_or_default();
     for line in log.lines().rev().take(2) {
-        record.line(&format!("last log lines: {}", line.replace(&*temporary.to_string_lossy(), "")));
+        record.line(&format!(
+            "last log lines: {}",
+            line.replace(&*temporary.to_string_lossy(), "")
+        ));
     }
     record.line(&format!("served after the restart: {served}"));
     println!("served after the restart: {served}");
--- a/review/standins-3/group.rs
+++ b/review/standins-3/group.rs
@@ -121,15 +121,19 @@
                     for stream in listener.incoming().flatten() {
                         let groups = groups.clone();
                         let service = service.clone();
-                        thread::spawn(move || Connection::new(groups, service, index).serve(stream));
+                        thread::spawn(move || {
+                            Connection::new(groups, service, index).serve(stream)
+                        });
                     }
                 });
             }
         }
         let replicating = groups.clone();
-        thread::spawn(move || loop {
-            replicating.replicate();
-            thread::sleep(Duration::from_millis(2));
+        thread::spawn(move || {
+            loop {
+                replicating.replicate();
+                thread::sleep(Duration::from_millis(2));
+            }
         });
         groups
     }
@@ -160,8 +164,16 @@
                 if !backend.up {
                     continue;
                 }
-                let role = if index == service.primary { "primary" } else { "replica" };
-                let state = if backend.draining { "draining" } else { "ready" };
+                let role = if index == service.primary {
+                    "primary"
+                } else {
+                    "replica"
+                };
+                let state = if backend.draining {
+                    "draining"
+                } else {
+                    "ready"
+                };
                 let document = format!(
                     "{{\"service\":\"{name}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"warmupLeftMs\":0,\"dbRole\":\"{role}\",\"seq\":1,\"born\":1700000000000}}",
                     backend.address, backend.zone, self.figures.slots
@@ -301,7 +313,10 @@
                 "START" => {
                     let fields: Vec<String> = rest.split(' ').map(str::to_owned).collect();
                     let (id, full) = self.groups.backend(&self.service, self.index, |b| {
-                        (b.id.clone(), b.connections >= self.groups.figures.max_connections)
+                        (
+                            b.id.clone(),
+                            b.connections >= self.groups.figures.max_connections,
+                        )
                     });
                     let named = fields.get(2).is_none_or(|named| *named == id);
                     if fields[0] != self.service || !named {
@@ -344,7 +359,9 @@
             (None, false) => 'I',
         };
         let term = self.groups.services.lock().expect("not poisoned")[&self.service].term;
-        let length = self.groups.backend(&self.service, self.index, |b| b.log.len());
+        let length = self
+            .groups
+            .backend(&self.service, self.index, |b| b.log.len());
         write!(writer, "READY {state} {term}.{length}\r\n")
     }
 
@@ -357,7 +374,9 @@
             .split_once('.')
             .and_then(|(_, number)| number.parse().ok())
             .unwrap_or(0);
-        let length = self.groups.backend(&self.service, self.index, |b| b.log.len());
+        let length = self
+            .groups
+            .backend(&self.service, self.index, |b| b.log.len());
         let ran = if length < needed {
             Err("LAGGING")
         } else {
@@ -423,7 +442,10 @@
                     self.groups.backend(&self.service, self.index, |b| {
                         (b.log.len(), b.busy, b.connections)
                     });
-                write!(writer, "ROW {role} {term} {term}.{length} 0 0 {busy} {connections}\r\n")?;
+                write!(
+                    writer,
+                    "ROW {role} {term} {term}.{length} 0 0 {busy} {connections}\r\n"
+                )?;
                 Ok(Ok(false))
             }
             "BEGIN" if rest.is_empty() && !is_primary => Ok(Err("READONLY")),
@@ -516,7 +538,9 @@
     fn note(&self, id: &str, text: &str) {
         let ran = (id.to_owned(), self.tenant.clone(), Instant::now());
         self.groups.ran.lock().expect("not poisoned").push(ran);
-        let backend = self.groups.backend(&self.service, self.index, |b| b.id.clone());
+        let backend = self
+            .groups
+            .backend(&self.service, self.index, |b| b.id.clone());
         self.groups
             .record
             .line(&format!("{backend} runs {id} for {}: {text}", self.tenant));
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -117,9 +117,11 @@
             }
         });
         let beating = store.clone();
-        thread::spawn(move || loop {
-            beating.register();
-            thread::sleep(Duration::from_millis(100));
+        thread::spawn(move || {
+            loop {
+                beating.register();
+                thread::sleep(Duration::from_millis(100));
+            }
         });
         store
     }
@@ -128,7 +130,8 @@
     pub fn put(&self, key: &str, document: &str) {
         let mut content = self.content.lock().expect("not poisoned");
         content.put(key, to_base64(document.as_bytes()), 0);
-        self.record.line(&format!("operator put {key} acknowledged"));
+        self.record
+            .line(&format!("operator put {key} acknowledged"));
     }
 
     /// Removes a document, as the operator does.
@@ -136,14 +139,19 @@
         let mut content = self.content.lock().expect("not poisoned");
         content.revision += 1;
         content.items.remove(key);
-        self.record.line(&format!("operator delete {key} acknowledged"));
+        self.record
+            .line(&format!("operator delete {key} acknowledged"));
     }
 
     /// Tells how many keys begin with a prefix.
     pub fn count(&self, prefix: &str) -> usize {
         let mut content = self.content.lock().expect("not poisoned");
         content.expire();
-        content.items.keys().filter(|key| key.starts_with(prefix)).count()
+        content
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .count()
     }
 
     /// Writes the entries of the backends that changed, and removes those of backends that are gone.
@@ -152,7 +160,11 @@
         let mut content = self.content.lock().expect("not poisoned");
         for (key, document) in &entries {
             let value = to_base64(document.as_bytes());
-            if content.items.get(key).is_none_or(|item| item.value != value) {
+            if content
+                .items
+                .get(key)
+                .is_none_or(|item| item.value != value)
+            {
                 content.put(key, value, 0);
             }
         }
--- a/review/standins-3/template.rs
+++ b/review/standins-3/template.rs
@@ -25,12 +25,14 @@
                 None | Some(Json::Null | Json::Bool(false)) => {}
                 Some(Json::List(list)) => {
                     for entry in list {
-                        let scopes: Vec<&Json> = [entry].into_iter().chain(scopes.iter().copied()).collect();
+                        let scopes: Vec<&Json> =
+                            [entry].into_iter().chain(scopes.iter().copied()).collect();
                         text.push_str(&section(inner, &scopes)?);
                     }
                 }
                 Some(value) => {
-                    let scopes: Vec<&Json> = [value].into_iter().chain(scopes.iter().copied()).collect();
+                    let scopes: Vec<&Json> =
+                        [value].into_iter().chain(scopes.iter().copied()).collect();
                     text.push_str(&section(inner, &scopes)?);
                 }
             }
@@ -76,7 +78,9 @@
             format!("[{}]", entries.join(","))
         }
         Json::Table(table) => {
-            let entries = table.iter().map(|(key, value)| format!("\"{key}\":{}", written(value)));
+            let entries = table
+                .iter()
+                .map(|(key, value)| format!("\"{key}\":{}", written(value)));
             format!("{{{}}}", entries.collect::<Vec<_>>().join(","))
         }
     }
--- a/review/standins-3/vm.rs
+++ b/review/standins-3/vm.rs
@@ -63,7 +63,11 @@
         );
         fs::write(&settings, text).expect("the settings are written");
         let child = spawn(&settings);
-        record.line(&format!("{} started as process {}", machine.name, child.id()));
+        record.line(&format!(
+            "{} started as process {}",
+            machine.name,
+            child.id()
+        ));
         let vm = Vm {
             machine,
             entry,
@@ -85,10 +89,16 @@
 
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
-        self.record.line(&format!("{} gets {name}", self.machine.name));
+        self.record
+            .line(&format!("{} gets {name}", self.machine.name));
         let id = self.id().to_string();
-        let sent = Command::new("kill").args([&format!("-{name}"), &id]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
+        let sent = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
+        assert!(
+            sent.is_ok_and(|status| status.success()),
+            "the signal is sent"
+        );
     }
 
     /// Ends the process at once and starts it again, as the platform does with one that was killed.
@@ -99,7 +109,8 @@
         self.record.line(&format!("{} killed", self.machine.name));
         thread::sleep(pause);
         *child = spawn(&self.settings);
-        self.record.line(&format!("{} started again", self.machine.name));
+        self.record
+            .line(&format!("{} started again", self.machine.name));
     }
 
     /// Kills the process if it exceeds its memory, as the platform does.
@@ -110,16 +121,18 @@
         let record = self.record.clone();
         let name = self.machine.name.clone();
         let limit = self.machine.memory_mb * 1_024;
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(5));
-            let id = child.lock().expect("not poisoned").id();
-            let Some(used) = anonymous_kib(id) else {
-                continue;
-            };
-            peak.fetch_max(used, Ordering::Relaxed);
-            if used > limit && !killed.swap(true, Ordering::Relaxed) {
-                record.line(&format!("{name} holds {used} KiB of {limit}: killed"));
-                let _ = child.lock().expect("not poisoned").kill();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(5));
+                let id = child.lock().expect("not poisoned").id();
+                let Some(used) = anonymous_kib(id) else {
+                    continue;
+                };
+                peak.fetch_max(used, Ordering::Relaxed);
+                if used > limit && !killed.swap(true, Ordering::Relaxed) {
+                    record.line(&format!("{name} holds {used} KiB of {limit}: killed"));
+                    let _ = child.lock().expect("not poisoned").kill();
+                }
             }
         });
     }
