Remember a long rate window in few entries

An amount's expiry is now rounded up by the 128th part of its time, 50 ms at least, so a window of 6.4 s or less is kept as before and a longer one in some 130 entries. Rounding up only delays tokens.

--- a/crates/proxy/src/rates/expiring_amounts.rs
+++ b/crates/proxy/src/rates/expiring_amounts.rs
@@ -5,8 +5,10 @@
 
 use crate::clock::BootInstant;
 
-/// Granularity to which expiry times are rounded up, which keeps the number of entries small.
-const ROUNDING: Duration = Duration::from_millis(50);
+/// Shortest granularity to which expiry times are rounded up, which keeps the number of entries small.
+const MIN_ROUNDING: Duration = Duration::from_millis(50);
+/// Most entries within the time after which an amount expires.
+const MAX_ENTRIES: u32 = 128;
 
 /// Amounts ordered by expiry time, with their sum.
 #[derive(Debug, Default)]
@@ -17,16 +19,17 @@
 }
 
 impl ExpiringAmounts {
-    /// Adds an amount that expires after `time`, rounded up by [`ROUNDING`] at most.
+    /// Adds an amount that expires after `time`, rounded up by its 128th part or [`MIN_ROUNDING`] at most.
     pub(super) fn add(&mut self, amount: u64, time: Duration, now: BootInstant) {
         if amount == 0 {
             return;
         }
         self.total = self.total.saturating_add(amount);
+        let rounding = (time / MAX_ENTRIES).max(MIN_ROUNDING);
         let expires = now.after(time);
         match self.entries.back_mut() {
             Some((last, known)) if expires <= *last => *known = known.saturating_add(amount),
-            _ => self.entries.push_back((expires.after(ROUNDING), amount)),
+            _ => self.entries.push_back((expires.after(rounding), amount)),
         }
     }
 
--- a/crates/proxy/tests/rates/window.rs
+++ b/crates/proxy/tests/rates/window.rs
@@ -1,5 +1,6 @@
 //! Amounts that an account gets, and never exceeds, in each window of the operators' length.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use mustardbay_policy::names::AccountName;
@@ -116,3 +117,35 @@
     let soon = granted.iter().filter(|at| **at < end).count();
     assert!(soon >= 19, "{soon} in the first second");
 }
+
+/// Operators may name any window: each keeps its bound, and what is remembered of it stays small.
+///
+/// A window of a day took an entry for each 50 ms with a grant: 172,800 an account at two a second.
+#[test_case(Duration::from_millis(250), Duration::from_millis(1); "short")]
+#[test_case(Duration::from_hours(24), Duration::from_millis(500); "of_a_day")]
+fn any_window_is_kept_and_remembered_briefly(window: Duration, step: Duration) {
+    let name = AccountName::from("a");
+    let mut now = BootInstant::from_boot(Duration::from_secs(100));
+    let mut authority = Authority::new(window);
+    authority.assign(&name, Split::new(account(2, 10), 1), now, now);
+    let end = now.after(window * 3);
+    let bound = 2 * window.as_millis() / 1_000 + 10;
+    let mut granted = VecDeque::new();
+    while now < end {
+        now = now.after(step);
+        while granted
+            .pop_front_if(|at| now.since(*at) >= window)
+            .is_some()
+        {}
+        let request = TokenRequest {
+            amount: TOKEN,
+            waiting: true,
+            max_wait: Duration::ZERO,
+        };
+        let grant = authority.grant(&name, request, now);
+        granted.extend(grant.filter(|grant| grant.amount > 0).map(|_| now));
+        assert!(granted.len() as u128 <= bound, "more than {bound}");
+    }
+    let remembered = format!("{authority:?}").matches("BootInstant").count();
+    assert!(remembered <= 400, "{remembered} times");
+}
