Check names and addresses of all settings in one place, and count a time in one unit

A time is counted in milliseconds before it is rounded, so that the longest one is not refused for the last bit of a fraction.

Measured: settings tests of all programs pass, with a case for the longest time and one for an empty name.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of an entry.
 
 use std::net::IpAddr;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use mustardbay_policy::names::DomainName;
@@ -10,6 +9,8 @@
 use mustardbay_process::settings::InvalidValue;
 use mustardbay_process::settings::Milliseconds;
 use mustardbay_process::settings::Settings;
+use mustardbay_process::settings::check_address;
+use mustardbay_process::settings::check_name;
 use mustardbay_process::settings::override_from_env;
 use serde::Deserialize;
 use serde::Serialize;
@@ -123,6 +124,8 @@
         let mut domain = self.domain.to_string();
         override_from_env(&mut domain, "MUSTARDBAY_DOMAIN");
         self.domain = DomainName::from(domain);
+        check_name("vm", self.vm.as_str())?;
+        check_name("domain", self.domain.as_str())?;
         check_address("callers", &self.callers)?;
         check_address("admin", &self.admin)?;
         check_address("steward", &self.steward)?;
@@ -169,13 +172,6 @@
     }
 }
 
-fn check_address(key: &str, value: &str) -> Result<(), InvalidValue> {
-    match value.parse::<SocketAddr>() {
-        Ok(_) => Ok(()),
-        Err(_) => Err(InvalidValue::new(key, value, "ip:port")),
-    }
-}
-
 fn check_size(key: &str, value: usize) -> Result<(), InvalidValue> {
     if value == 0 {
         return Err(InvalidValue::new(key, &value, "1 or more"));
--- a/crates/entry/tests/entry/settings.rs
+++ b/crates/entry/tests/entry/settings.rs
@@ -26,7 +26,7 @@
     assert_eq!(time, Duration::from_millis(millis));
 }
 
-/// A time beyond what the clock holds stopped the process when the first caller came.
+/// Any time was accepted, and a wrong one refused without its range.
 #[test_case("startup_ms: 10000", "startup_ms: 18446744073709551615", "limits.startup_ms"; "too_long")]
 #[test_case("answer_ms: 60000", "answer_ms: 0", "limits.answer_ms"; "too_short")]
 #[test_case("message_ms: 60000", "message_ms: 60s", "limits.message_ms"; "unit_twice")]
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -2,13 +2,14 @@
 
 use std::fmt;
 use std::net::IpAddr;
-use std::net::SocketAddr;
 
 use mustardbay_policy::queue::Discipline;
 use mustardbay_process::machine;
 use mustardbay_process::settings::InvalidValue;
 use mustardbay_process::settings::Milliseconds;
 use mustardbay_process::settings::Settings;
+use mustardbay_process::settings::check_address;
+use mustardbay_process::settings::check_name;
 use mustardbay_process::settings::override_from_env;
 use serde::Deserialize;
 
@@ -109,17 +110,3 @@
         check_name("login.user", &self.login.user)
     }
 }
-
-fn check_address(key: &str, value: &str) -> Result<(), InvalidValue> {
-    match value.parse::<SocketAddr>() {
-        Ok(_) => Ok(()),
-        Err(_) => Err(InvalidValue::new(key, value, "ip:port")),
-    }
-}
-
-fn check_name(key: &str, value: &str) -> Result<(), InvalidValue> {
-    if value.is_empty() {
-        return Err(InvalidValue::new(key, value, "a name that is not empty"));
-    }
-    Ok(())
-}
--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -5,6 +5,7 @@
 mod scalar;
 mod time_span;
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -129,6 +130,30 @@
     read.map_err(|e| (key, e.to_string()))
 }
 
+/// Checks that a value is an address with its port.
+///
+/// # Errors
+///
+/// Names the key if it is not.
+pub fn check_address(key: &str, value: &str) -> Result<(), InvalidValue> {
+    match value.parse::<SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(InvalidValue::new(key, value, "ip:port")),
+    }
+}
+
+/// Checks that a name, which several vms must not share, is not empty.
+///
+/// # Errors
+///
+/// Names the key if it is.
+pub fn check_name(key: &str, value: &str) -> Result<(), InvalidValue> {
+    if value.is_empty() {
+        return Err(InvalidValue::new(key, value, "a name that is not empty"));
+    }
+    Ok(())
+}
+
 /// Replaces `value` with the value of an environment variable, if it is set to valid Unicode.
 pub fn override_from_env(value: &mut String, variable: &str) {
     if let Ok(text) = std::env::var(variable) {
--- a/crates/process/src/settings/time_span.rs
+++ b/crates/process/src/settings/time_span.rs
@@ -15,8 +15,13 @@
 
 /// Longest time that settings may name.
 const MAX: Duration = Duration::from_hours(24 * 365);
-/// Units in which a time may be written, with their seconds; `ms` is looked for before `s`.
-const UNITS: [(&str, f64); 4] = [("ms", 0.001), ("s", 1.0), ("min", 60.0), ("h", 3_600.0)];
+/// Units in which a time may be written, with their milliseconds; `ms` is looked for before `s`.
+const UNITS: [(&str, f64); 4] = [
+    ("ms", 1.0),
+    ("s", 1_000.0),
+    ("min", 60_000.0),
+    ("h", 3_600_000.0),
+];
 
 /// Length of time, from `MIN_MS` milliseconds to 365 days.
 ///
@@ -40,18 +45,18 @@
         self.0
     }
 
-    /// Returns `number` units of `seconds` each, if they are allowed.
-    fn of(number: f64, seconds: f64) -> Option<Self> {
-        let time = Duration::try_from_secs_f64(number * seconds).ok()?;
+    /// Returns the time of `millis` milliseconds, if it is allowed.
+    fn of(millis: f64) -> Option<Self> {
+        let time = Duration::try_from_secs_f64(millis / 1_000.0).ok()?;
         (Self::MIN..=MAX).contains(&time).then_some(Self(time))
     }
 
     fn parse(text: &str) -> Option<Self> {
         let units = UNITS.iter();
-        let mut split =
-            units.filter_map(|(unit, seconds)| Some((text.strip_suffix(unit)?, seconds)));
-        let (number, seconds) = split.next()?;
-        Self::of(number.trim_end().parse().ok()?, *seconds)
+        let mut split = units.filter_map(|(unit, ms)| Some((text.strip_suffix(unit)?, ms)));
+        let (number, millis) = split.next()?;
+        let number: f64 = number.trim_end().parse().ok()?;
+        Self::of(number * millis)
     }
 }
 
@@ -72,12 +77,6 @@
     }
 }
 
-impl<const MIN_MS: u64> Serialize for TimeSpan<MIN_MS> {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.collect_str(self)
-    }
-}
-
 impl<'de, const MIN_MS: u64> Deserialize<'de> for TimeSpan<MIN_MS> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let Scalar(text) = Scalar::deserialize(deserializer)?;
@@ -112,8 +111,8 @@
 impl<'de, const MIN_MS: u64> Deserialize<'de> for Milliseconds<MIN_MS> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let Scalar(text) = Scalar::deserialize(deserializer)?;
-        let number = text.parse().ok();
-        let time = number.and_then(|number| TimeSpan::of(number, 0.001));
+        let millis = text.parse().ok();
+        let time = millis.and_then(TimeSpan::of);
         time.map(Self).ok_or_else(|| {
             let allowed = format!("{MIN_MS} to {} milliseconds", MAX.as_millis());
             Error::custom(NotAllowed::new(text, allowed))
--- a/crates/process/tests/settings.rs
+++ b/crates/process/tests/settings.rs
@@ -55,6 +55,7 @@
 #[test_case("span: 0.1min", 6_000_000; "minutes")]
 #[test_case("span: 8760h", 31_536_000_000_000; "longest")]
 #[test_case("span: 1ms", 1_000; "shortest")]
+#[test_case("wait_ms: 31536000000", 31_536_000_000_000; "milliseconds_longest")]
 #[test_case("wait_ms: 0", 0; "milliseconds_none")]
 #[test_case("wait_ms: 1500", 1_500_000; "milliseconds_whole")]
 #[test_case("wait_ms: 1500.125", 1_500_125; "milliseconds_fraction")]
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -13,9 +13,9 @@
 use mustardbay_policy::names::VmName;
 use mustardbay_process::settings::InvalidValue;
 use mustardbay_process::settings::Settings;
+use mustardbay_process::settings::check_name;
 use serde::Deserialize;
 use serde::Deserializer;
-use serde::Serialize;
 
 use crate::configuration::Regions;
 pub use crate::settings::bounds::Bounds;
@@ -30,7 +30,7 @@
 const BOUND_PERCENT: u32 = 92;
 
 /// Addresses that a vm listens on.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Address for callers.
@@ -53,7 +53,7 @@
 }
 
 /// Addresses of the platform.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformAddresses {
     /// Address of the key-value store.
@@ -64,7 +64,7 @@
 }
 
 /// Settings of one vm.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct VmSettings {
     /// Name of the vm.
@@ -121,12 +121,9 @@
 }
 
 impl Settings for VmSettings {
-    /// Refuses an empty name, which several vms would share; the types refuse everything else.
+    /// Refuses an empty name; the types refuse everything else.
     fn check(&mut self) -> Result<(), InvalidValue> {
-        let names = [("vm", self.vm.as_str()), ("domain", self.domain.as_str())];
-        match names.into_iter().find(|(_, name)| name.is_empty()) {
-            Some((key, name)) => Err(InvalidValue::new(key, name, "a name that is not empty")),
-            None => Ok(()),
-        }
+        check_name("vm", self.vm.as_str())?;
+        check_name("domain", self.domain.as_str())
     }
 }
--- a/crates/proxy/src/settings/bounds.rs
+++ b/crates/proxy/src/settings/bounds.rs
@@ -5,14 +5,13 @@
 use mustardbay_process::settings::Milliseconds;
 use mustardbay_process::settings::TimeSpan;
 use serde::Deserialize;
-use serde::Serialize;
 use thiserror::Error;
 
 /// Bound that applies where the operators name none.
 const DEFAULT_BOUND: Duration = Duration::from_secs(5);
 
 /// Bounds that the operators guarantee to callers; each is 5 s if absent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(try_from = "WrittenBounds")]
 pub struct Bounds {
     /// Time after which a withdrawn key must not work.
@@ -37,9 +36,8 @@
 }
 
 /// Bounds as a settings file holds them: each with its unit, or under a key that names milliseconds.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-#[derive(Default)]
 struct WrittenBounds {
     withdrawal: Option<TimeSpan<1>>,
     withdrawal_ms: Option<Milliseconds<1>>,
--- a/crates/proxy/src/settings/limits.rs
+++ b/crates/proxy/src/settings/limits.rs
@@ -5,7 +5,6 @@
 use mustardbay_process::settings::deserialize_number;
 use serde::Deserialize;
 use serde::Deserializer;
-use serde::Serialize;
 
 /// Descriptors that are kept for files.
 const RESERVED_DESCRIPTORS: u32 = 200;
@@ -23,7 +22,7 @@
 const MIN_WEIGHT: f64 = 1.0;
 
 /// Resources of the machine, which bound what clients can make the process hold.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Limits {
     /// Memory beyond which the process is killed, in megabytes.
@@ -43,8 +42,7 @@
 }
 
 /// Memory of a process, written in megabytes: 16 to 1,000,000,000, whole or a fraction.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(transparent)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Memory {
     bytes: usize,
 }
@@ -84,8 +82,7 @@
 }
 
 /// Number of open descriptors of a process, 232 to 2,000,000,000; a fraction is rounded down.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(transparent)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Descriptors(u32);
 
 impl Descriptors {
@@ -115,8 +112,7 @@
 }
 
 /// Processor cores that a process may use, 0.000001 to 1,000,000; 1 if absent.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
-#[serde(transparent)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Cores(f64);
 
 impl Cores {
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -2,13 +2,14 @@
 
 use std::fmt;
 use std::net::IpAddr;
-use std::net::SocketAddr;
 
 use mustardbay_policy::bundle::SignerId;
 use mustardbay_policy::names::DomainName;
 use mustardbay_policy::names::VmName;
 use mustardbay_process::settings::InvalidValue;
 use mustardbay_process::settings::Settings;
+use mustardbay_process::settings::check_address;
+use mustardbay_process::settings::check_name;
 use mustardbay_process::settings::override_from_env;
 use serde::Deserialize;
 
@@ -68,6 +69,8 @@
 impl Settings for StewardSettings {
     fn check(&mut self) -> Result<(), InvalidValue> {
         self.apply_environment();
+        check_name("vm", self.vm.as_str())?;
+        check_name("domain", self.domain.as_str())?;
         let addresses = [
             ("local", &self.local),
             ("peers", &self.peers),
@@ -130,10 +133,3 @@
         }
     }
 }
-
-fn check_address(key: &str, address: &str) -> Result<(), InvalidValue> {
-    match address.parse::<SocketAddr>() {
-        Ok(_) => Ok(()),
-        Err(_) => Err(InvalidValue::new(key, address, "ip:port")),
-    }
-}
--- a/crates/steward/tests/settings.rs
+++ b/crates/steward/tests/settings.rs
@@ -26,6 +26,7 @@
     assert!(!format!("{settings:?}").contains(&settings.login.password));
 }
 
+#[test_case("vm: vm1", "vm: ''", "key vm: "; "empty_name")]
 #[test_case("local: 127.0.0.1:9301", "local: here", "local"; "address")]
 #[test_case("- http://127.0.0.1:2379", "- ftp://127.0.0.1:2379", "platform"; "platform_scheme")]
 #[test_case("- 0000", "- zzzz", "signers"; "signer")]
