Show no line that may hold a password in an error of settings

An error of a settings file showed the lines around its place, so a mistyped key beside the login wrote the password into the log, of the pool and the steward. Only the line itself is shown now, and only if it is that of a known key outside the login; cause, position, key, value and range stay.

Measured: settings_error_hides_the_password failed in 6 of 6 cases before; now 7 of 7 pass, one of them new.

--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -17,6 +17,9 @@
 pub use crate::settings::time_span::Milliseconds;
 pub use crate::settings::time_span::TimeSpan;
 
+/// Key under which programs have their passwords.
+const LOGIN_KEY: &str = "login";
+
 /// Error of loading a settings file.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -118,16 +121,32 @@
     }
 }
 
-/// Reads settings from YAML; an error is the key that was being read, with position and cause.
+/// Reads settings from YAML; an error is the key that was being read, with position, cause and line.
 fn read<S: DeserializeOwned>(text: &str) -> Result<S, (String, String)> {
-    let mut key = ".".to_owned();
+    let mut key = None;
     let read = serde_saphyr::with_deserializer_from_str(text, |yaml| {
         serde_path_to_error::deserialize(yaml).map_err(|e| {
-            key = e.path().to_string();
+            key = Some(e.path().to_string());
             e.into_inner()
         })
     });
-    read.map_err(|e| (key, e.to_string()))
+    read.map_err(|e| {
+        let cause = e.without_snippet();
+        let line = shown_line(text, key.as_deref(), cause).unwrap_or_default();
+        (
+            key.unwrap_or_else(|| ".".to_owned()),
+            format!("{cause}{line}"),
+        )
+    })
+}
+
+/// Returns the line of an error, if it is that of a known key that has no password.
+fn shown_line(text: &str, key: Option<&str>, cause: &serde_saphyr::Error) -> Option<String> {
+    let key = key.filter(|key| *key != "." && !key.contains('?'))?;
+    let is_unknown = cause.to_string().contains("unknown field");
+    let number = usize::try_from(cause.location()?.line()).ok()?;
+    let line = text.lines().nth(number.checked_sub(1)?)?;
+    (!is_unknown && !key.starts_with(LOGIN_KEY)).then(|| format!(": {:?}", line.trim()))
 }
 
 /// Checks that a value is an address with its port.
--- a/crates/steward/tests/settings.rs
+++ b/crates/steward/tests/settings.rs
@@ -40,3 +40,16 @@
         "{text}"
     );
 }
+
+/// The error showed the lines around its place, which may hold the password.
+#[test_case("user: mustardbay", "user: [x]"; "user")]
+#[test_case("password: change-me", "password: [change-me]"; "wrong_type")]
+#[test_case("password: change-me", "password: \"change-me"; "open_quotes")]
+#[test_case("password: change-me", "pasword: change-me"; "mistyped_key")]
+#[test_case("login:", "logon:"; "mistyped_table")]
+#[test_case("login:", "login: x"; "no_table")]
+#[test_case("login:\n  user: mustardbay\n  password: change-me", "logon: {user: a, password: change-me}"; "mistyped_table_on_one_line")]
+fn settings_error_hides_the_password(from: &str, to: &str) {
+    let error = load_text(&example().replacen(from, to, 1)).expect_err("the value is wrong");
+    assert!(!error.to_string().contains("change-me"), "{error}");
+}
