Name the range of each number in the PostgreSQL programs' settings

A number of things written 1e4 or 10000.0 was refused, and one that is no number was refused without saying what is allowed; 0 and the largest batch were found by a check of their own. They are read as a vm's numbers are, within their range, so the check is gone.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,10 +11,20 @@
 use mustardbay_process::settings::Settings;
 use mustardbay_process::settings::check_address;
 use mustardbay_process::settings::check_name;
+use mustardbay_process::settings::deserialize_count;
+use mustardbay_process::settings::deserialize_count_up_to;
+use mustardbay_process::settings::deserialize_some_count;
 use mustardbay_process::settings::override_from_env;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 
+/// Largest batch; with its envelope it must fit into a frame to a pool.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a frame has far fewer bytes than are exact"
+)]
+const MAX_BATCH_BYTES: f64 = (mustardbay_wire::MAX_FRAME_BYTES / 2) as f64;
 /// Fraction of the process's memory that may be kept for clients.
 const KEPT_DIVISOR: u64 = 8;
 
@@ -75,14 +85,18 @@
 #[serde(deny_unknown_fields, default)]
 pub struct ClientLimits {
     /// Largest number of client connections.
+    #[serde(deserialize_with = "deserialize_count")]
     pub connections: usize,
     /// Time limit of a start-up.
     pub startup_ms: Milliseconds<1>,
     /// Largest client message, in bytes.
+    #[serde(deserialize_with = "deserialize_count")]
     pub message_bytes: usize,
     /// Largest total of the messages up to one `Sync`, in bytes.
+    #[serde(deserialize_with = "batch_bytes")]
     pub batch_bytes: usize,
     /// Largest number of prepared statements of one session.
+    #[serde(deserialize_with = "deserialize_count")]
     pub statements: usize,
     /// Time for open sessions to finish when the process drains.
     pub drain_ms: Milliseconds<0>,
@@ -91,8 +105,10 @@
     /// Longest time for which a client may take nothing of its answers.
     pub answer_ms: Milliseconds<1>,
     /// Memory that the process may use, in bytes; that of the machine if absent.
+    #[serde(deserialize_with = "deserialize_some_count")]
     pub memory_bytes: Option<u64>,
     /// Number of descriptors that the process may open; that of the process's limit if absent.
+    #[serde(deserialize_with = "deserialize_some_count")]
     pub descriptors: Option<u64>,
 }
 
@@ -136,7 +152,7 @@
                 "scram, or cleartext with tls or clear_keys",
             ));
         }
-        self.limits.check()
+        Ok(())
     }
 }
 
@@ -155,26 +171,9 @@
         let descriptors = self.descriptors.map_or(allowed, |d| d.min(allowed));
         usize::try_from(descriptors).unwrap_or(usize::MAX)
     }
-
-    fn check(&self) -> Result<(), InvalidValue> {
-        check_size("limits.connections", self.connections)?;
-        check_size("limits.message_bytes", self.message_bytes)?;
-        check_size("limits.batch_bytes", self.batch_bytes)?;
-        check_size("limits.statements", self.statements)?;
-        if self.batch_bytes > mustardbay_wire::MAX_FRAME_BYTES / 2 {
-            return Err(InvalidValue::new(
-                "limits.batch_bytes",
-                &self.batch_bytes,
-                format!("at most {}", mustardbay_wire::MAX_FRAME_BYTES / 2),
-            ));
-        }
-        Ok(())
-    }
 }
 
-fn check_size(key: &str, value: usize) -> Result<(), InvalidValue> {
-    if value == 0 {
-        return Err(InvalidValue::new(key, &value, "1 or more"));
-    }
-    Ok(())
+/// Reads the largest batch, which must fit into a frame to a pool.
+fn batch_bytes<'de, D: Deserializer<'de>>(deserializer: D) -> Result<usize, D::Error> {
+    deserialize_count_up_to(deserializer, MAX_BATCH_BYTES)
 }
--- a/crates/entry/tests/entry/settings.rs
+++ b/crates/entry/tests/entry/settings.rs
@@ -26,12 +26,27 @@
     assert_eq!(time, Duration::from_millis(millis));
 }
 
-/// Any time was accepted, and a wrong one refused without its range.
-#[test_case("startup_ms: 10000", "startup_ms: 18446744073709551615", "limits.startup_ms"; "too_long")]
-#[test_case("answer_ms: 60000", "answer_ms: 0", "limits.answer_ms"; "too_short")]
-#[test_case("message_ms: 60000", "message_ms: 60s", "limits.message_ms"; "unit_twice")]
-fn settings_error_names(from: &str, to: &str, key: &str) {
+/// Any time was accepted, and what is no whole number was refused without its range.
+#[test_case("startup_ms: 10000", "startup_ms: 18446744073709551615", "1 to 31536000000 milliseconds"; "too_long")]
+#[test_case("answer_ms: 60000", "answer_ms: 0", "1 to 31536000000 milliseconds"; "too_short")]
+#[test_case("message_ms: 60000", "message_ms: 60s", "1 to 31536000000 milliseconds"; "unit_twice")]
+#[test_case("connections: 10000", "connections: 0", "1 to 1000000000000000"; "no_connections")]
+#[test_case("connections: 10000", "connections: many", "1 to 1000000000000000"; "no_number")]
+#[test_case("batch_bytes: 8388608", "batch_bytes: 8388609", "1 to 8388608"; "beyond_a_frame")]
+#[test_case("# memory_bytes: 268435456", "memory_bytes: -1", "1 to 1000000000000000"; "negative")]
+fn settings_error_names(from: &str, to: &str, allowed: &str) {
     let error = load_example(from, to).expect_err("not valid");
-    let allowed = "allowed: 1 to 31536000000 milliseconds";
-    assert!(error.contains(key) && error.contains(allowed), "{error}");
+    let (key, value) = to.split_once(": ").expect("key and value");
+    for word in [key, value, allowed] {
+        assert!(error.contains(word), "{word} in {error}");
+    }
+}
+
+#[test_case("connections: 10000", "connections: 1e4", 10_000; "exponent")]
+#[test_case("connections: 10000", "connections: 10000.0", 10_000; "point")]
+#[test_case("# memory_bytes: 268435456", "memory_bytes: null", 10_000; "memory_of_the_machine")]
+fn connections_are_read(from: &str, to: &str, connections: usize) {
+    let settings = load_example(from, to).expect("valid");
+    assert_eq!(settings.limits.connections, connections);
+    assert_eq!(settings.limits.memory_bytes, None);
 }
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -10,6 +10,7 @@
 use mustardbay_process::settings::Settings;
 use mustardbay_process::settings::check_address;
 use mustardbay_process::settings::check_name;
+use mustardbay_process::settings::deserialize_some_count;
 use mustardbay_process::settings::override_from_env;
 use serde::Deserialize;
 
@@ -54,6 +55,7 @@
 #[serde(deny_unknown_fields, default)]
 pub struct PoolLimits {
     /// Memory that the process may use, in bytes; that of the machine if absent.
+    #[serde(deserialize_with = "deserialize_some_count")]
     pub memory_bytes: Option<u64>,
 }
 
--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings files in YAML; every error names the file and the key or position in it.
 
+mod count;
 mod not_allowed;
 mod number;
 mod scalar;
@@ -12,6 +13,9 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+pub use crate::settings::count::deserialize_count;
+pub use crate::settings::count::deserialize_count_up_to;
+pub use crate::settings::count::deserialize_some_count;
 pub use crate::settings::not_allowed::NotAllowed;
 pub use crate::settings::number::deserialize_number;
 pub use crate::settings::time_span::Milliseconds;
