Say how an address is written where a vm's settings have none

An address that is absent or cannot be read was refused with the parser's words ("cannot deserialize null into string; use Option<String>"), which say neither the value nor what is allowed. The six addresses of a vm's settings are read by one function, which names both: `"" is not allowed; allowed: ip:port`.

--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -1,18 +1,21 @@
 //! Settings files in YAML; every error names the file and the key or position in it.
 
+mod address;
 mod count;
 mod not_allowed;
 mod number;
 mod scalar;
 mod time_span;
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+pub use crate::settings::address::check_address;
+pub use crate::settings::address::deserialize_address;
+pub use crate::settings::address::deserialize_some_address;
 pub use crate::settings::count::deserialize_count;
 pub use crate::settings::count::deserialize_count_up_to;
 pub use crate::settings::count::deserialize_some_count;
@@ -153,19 +156,7 @@
     (!is_unknown && !key.starts_with(LOGIN_KEY)).then(|| format!(": {:?}", line.trim()))
 }
 
-/// Checks that a value is an address with its port.
-///
-/// # Errors
-///
-/// Names the key if it is not.
-pub fn check_address(key: &str, value: &str) -> Result<(), InvalidValue> {
-    match value.parse::<SocketAddr>() {
-        Ok(_) => Ok(()),
-        Err(_) => Err(InvalidValue::new(key, value, "ip:port")),
-    }
-}
-
-/// Checks that a name, which several vms must not share, is not empty.
+/// Checks that a name is not empty; vms without one could not be told apart.
 ///
 /// # Errors
 ///
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -14,6 +14,8 @@
 use mustardbay_process::settings::InvalidValue;
 use mustardbay_process::settings::Settings;
 use mustardbay_process::settings::check_name;
+use mustardbay_process::settings::deserialize_address;
+use mustardbay_process::settings::deserialize_some_address;
 use serde::Deserialize;
 use serde::Deserializer;
 
@@ -34,13 +36,16 @@
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Address for callers.
+    #[serde(deserialize_with = "deserialize_address")]
     pub entry: SocketAddr,
     /// Address for the load balancer's readiness probe.
+    #[serde(deserialize_with = "deserialize_address")]
     pub ready: SocketAddr,
     /// Address for links from other vms.
+    #[serde(deserialize_with = "deserialize_address")]
     pub link: SocketAddr,
     /// Address for state, metrics and drain; they are not served if it is absent or that of `link`.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "deserialize_some_address")]
     pub admin: Option<SocketAddr>,
 }
 
@@ -57,9 +62,10 @@
 #[serde(deny_unknown_fields)]
 pub struct PlatformAddresses {
     /// Address of the key-value store.
+    #[serde(deserialize_with = "deserialize_address")]
     pub store: SocketAddr,
     /// Address for promotion calls; without it no primary can be replaced.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "deserialize_some_address")]
     pub control: Option<SocketAddr>,
 }
 
